--- /dev/null
+++ b/brain/brain.go
@@ -0,0 +1,746 @@
+// Package brain holds all decisions of a router, its tables and its tuned values; its interface is types.go.
+//
+// How to call it: New, then for each round Clock, then what came in (Listed, Take, Outcome, Left, News, Probed,
+// Woken), which only updates what is known; then Next until it answers Nothing, carrying out each decision.
+// Nothing here knows the time, draws chance or meets another router but through these calls.
+package brain
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"sort"
+)
+
+// The design's values (ours to tune) and those of what it leaves open. Times are seconds.
+const (
+	mark        = 1.5  // threads a core below which a batch starts
+	slowLimit   = 4    // slow batches that may wait before the most slowed leaves
+	firstLoad   = 0.9  // load until something is seen
+	mostLoad    = 0.95 // clamp of the load
+	loadTime    = 2.0  // how fast the load follows
+	redrawLeast = 0.05
+	redrawMost  = 0.2
+
+	reportLag   = 0.15 // a report is about this old when it comes
+	reportStale = 2.0  // an unchanged report is no longer believed
+	memorySpare = 1.25 // grant over the corrected need
+	memoryFull  = 1.0  // share of an engine's memory that may be spoken for
+	coldShare   = 0.5  // part of the cold budget that is used; the rest is for estimates that lie
+	asideFirst  = 1.0  // an engine set aside is tried again after this, doubled each time
+	asideMost   = 8.0
+	sweepEvery  = 0.05
+	overdue     = 2.0 // times the usual longest time
+	restartGain = 2.0 // a dispatch starts over when that looks so many times quicker
+)
+
+// histogram has one bin for each doubling of a ratio in half steps, from 0.7 to 45; it halves as it fills.
+type histogram struct {
+	bins  [13]float64
+	total float64
+}
+
+func (h *histogram) add(ratio float64) {
+	bin := int(math.Ceil(2*math.Log2(max(ratio, 0.1)))) + 1
+	h.bins[min(max(bin, 0), len(h.bins)-1)]++
+	if h.total++; h.total >= 256 {
+		h.total = 0
+		for i := range h.bins {
+			h.bins[i] /= 2
+			h.total += h.bins[i]
+		}
+	}
+}
+
+// quantile gives the upper edge of the bin that holds the share; unless enough was seen, the usual one.
+func (h *histogram) quantile(share, usual float64) float64 {
+	if h.total < 16 {
+		return usual
+	}
+	sum := 0.0
+	for i, n := range h.bins {
+		if sum += n; sum >= share*h.total {
+			return math.Pow(2, float64(i-1)/2)
+		}
+	}
+	return usual
+}
+
+// Router decides for one router.
+type Router struct {
+	set          Settings
+	now, started float64
+	random       uint64
+	engines      []*Engine
+	held         []*Batch // by demand, the smallest first
+	takes        []float64
+	furthers     []float64
+	lanes        map[uint64]*lane
+	load, loadAt float64
+	meanDemand   float64
+	gateAt       float64 // the gate stays shut until then
+	swept        float64
+	dying        []*Batch
+	cancels      []*dispatch
+	next         []Decision
+	probeCredit  float64
+	wakeAt       float64
+	asked        bool
+}
+
+// New starts a router. The settings' figures are cleaned here, once.
+func New(s Settings, seed uint64, now float64) *Router {
+	s.Routers = max(s.Routers, 1)
+	if s.MostDispatches <= 0 {
+		s.MostDispatches = 1
+	}
+	if s.LargestGrant <= 0 || s.LargestGrant > 1 {
+		s.LargestGrant = 1
+	}
+	for _, g := range s.Groups {
+		g.Threads = max(g.Threads, 1)
+	}
+	return &Router{set: s, now: now, started: now, random: seed&0xffffffff | 1<<33, lanes: map[uint64]*lane{},
+		load: firstLoad, loadAt: now, swept: math.Inf(-1), wakeAt: math.Inf(1)}
+}
+
+// draw gives a number from 0 to 1 by multiply with carry.
+func (r *Router) draw() float64 {
+	r.random = 4294957665*(r.random&0xffffffff) + r.random>>32
+	return float64(r.random&0xffffffff) / (1 << 32)
+}
+
+func (r *Router) log(format string, args ...any) {
+	r.next = append(r.next, Decision{Kind: Log, Text: fmt.Sprintf(format, args...)})
+}
+
+// sane keeps missing, infinite and absurd figures out.
+func sane(v, most float64) float64 {
+	if !(v > 0) {
+		return 0
+	}
+	return min(v, most)
+}
+
+// Clock tells the time; calls until the next one are at this time.
+func (r *Router) Clock(now float64) { r.now = max(r.now, now) }
+
+// Listed brings the list of engines: the whole of it, or what changed.
+func (r *Router) Listed(list []*Engine, whole bool) {
+	for _, e := range list {
+		if e.cores == 0 {
+			e.cores, e.memory, e.pace = 8, 0, 1
+			if e.Kind < len(r.set.CoresByKind) {
+				e.cores = max(r.set.CoresByKind[e.Kind], 1)
+			}
+			if e.Kind < len(r.set.MemoryByKind) {
+				e.memory = r.set.MemoryByKind[e.Kind]
+			}
+		}
+		if !slices.Contains(r.engines, e) {
+			r.engines = append(r.engines, e)
+		}
+	}
+	if whole {
+		for _, e := range r.engines {
+			if !slices.Contains(list, e) {
+				e.Phase = Gone
+			}
+		}
+	}
+	r.engines = slices.DeleteFunc(r.engines, func(e *Engine) bool { return e.Phase == Gone && len(e.outs) == 0 })
+}
+
+// ListFailed says that asking for the list failed.
+func (r *Router) ListFailed() { r.asked = false }
+
+// Take brings a batch, which is owed one final answer from now on.
+func (r *Router) Take(b *Batch) {
+	g := b.Group
+	b.taken, b.limitAt = r.now, r.now+sane(b.Left, 1e6)-r.set.Tick
+	b.demand = sane(b.Cost, 1e5)
+	if b.demand > 0 {
+		b.demand *= (g.needed + 4*g.told/max(g.seen, 1) + 1e-6) / (g.told + 4*g.told/max(g.seen, 1) + 1e-6)
+	} else if g.count > 0 {
+		b.demand = g.work / g.count
+	} else {
+		b.demand = g.Goal * g.Threads / 4
+	}
+	b.memory = sane(b.Memory, 1e7)
+	if b.memory > 0 && g.memTold > 0 {
+		b.memory *= g.memNeeded / g.memTold
+	} else if b.memory == 0 && g.count > 0 {
+		b.memory = g.memory / g.count
+	}
+	b.alone = b.demand / g.Threads
+	b.goalAt = r.now + g.Goal + g.GoalStretch*b.alone
+	r.meanDemand += (b.demand - r.meanDemand) / 64
+	if g.InOrder && b.Key != 0 {
+		if b.lane = r.lanes[b.Key]; b.lane == nil {
+			b.lane = &lane{}
+			r.lanes[b.Key] = b.lane
+		}
+		b.lane.line = append(b.lane.line, b)
+	}
+	r.takes = append(r.takes, r.now)
+	r.probeCredit++
+	r.hold(b)
+}
+
+func (r *Router) hold(b *Batch) {
+	i := sort.Search(len(r.held), func(i int) bool { return r.held[i].demand > b.demand })
+	r.held = slices.Insert(r.held, i, b)
+}
+
+func (r *Router) unhold(b *Batch) {
+	if i := slices.Index(r.held, b); i >= 0 {
+		r.held = slices.Delete(r.held, i, i+1)
+	}
+}
+
+// over ends a batch: nothing is sent for it any more.
+func (r *Router) over(b *Batch) {
+	b.Over = true
+	r.unhold(b)
+	if l := b.lane; l != nil {
+		if i := slices.Index(l.line, b); i >= 0 {
+			l.line = slices.Delete(l.line, i, i+1)
+		}
+		if len(l.line) == 0 && l.out == 0 && r.now >= l.restTo {
+			delete(r.lanes, b.Key)
+		}
+	}
+}
+
+// Left says that the client has gone.
+func (r *Router) Left(b *Batch) {
+	if !b.Over {
+		r.over(b)
+	}
+}
+
+// Outcome ends a dispatch; last says that the batch is over with it. Work and memory are what it needed.
+func (r *Router) Outcome(b *Batch, no int, end Ending, last bool, took, work, memory float64, rep *Report) {
+	if no >= len(b.dispatches) || b.dispatches[no].ended {
+		return
+	}
+	d, e, g := b.dispatches[no], b.dispatches[no].engine, b.Group
+	d.ended = true
+	b.Out--
+	e.outs = slices.DeleteFunc(e.outs, func(o *dispatch) bool { return o == d })
+	if rep != nil {
+		r.reported(e, rep)
+	}
+	doubt := end == TimedOut || end == Broken || end == Withdrawn
+	if l := b.lane; l != nil {
+		l.out--
+		if doubt {
+			l.restTo, l.restBy = r.now+r.set.SettleTime, b
+		}
+	}
+	if end == Returned || end == Errored || doubt {
+		if b.bound == nil {
+			b.bound, b.boundAt = e, d.sent
+		}
+	}
+	r.judge(e, end)
+	if end == Returned && work > 0 {
+		r.learn(b, g, took, sane(work, 1e5), sane(memory, 1e7))
+	}
+	if last {
+		if !b.Over {
+			r.over(b)
+		}
+	} else if !b.Over {
+		r.hold(b)
+		r.swept = math.Inf(-1)
+	}
+}
+
+// learn keeps what an answer tells of its service group.
+func (r *Router) learn(b *Batch, g *ServiceGroup, took, work, memory float64) {
+	if b.Cost > 0 && b.Cost < 1e5 {
+		g.told, g.needed, g.seen = g.told+b.Cost, g.needed+work, g.seen+1
+	}
+	if b.Memory > 0 && memory > 0 {
+		g.memTold, g.memNeeded = g.memTold+b.Memory, g.memNeeded+memory
+	}
+	g.work, g.memory, g.count = g.work+work, g.memory+memory, g.count+1
+	g.stretch.add(took / max(b.alone, 1e-3))
+	if g.count >= 128 {
+		for _, v := range []*float64{&g.told, &g.needed, &g.seen, &g.memTold, &g.memNeeded, &g.work, &g.memory, &g.count} {
+			*v /= 2
+		}
+	}
+}
+
+// judge sets an engine aside that errs, breaks or refuses connections more than it answers.
+func (r *Router) judge(e *Engine, end Ending) {
+	switch end {
+	case Returned:
+		e.signAt = r.now
+		e.good++
+		if e.asideUntil > 0 {
+			r.log("engine %d back after %.1f s", e.ID, e.backoff)
+			e.asideUntil, e.backoff, e.bad = 0, 0, 0
+		}
+	case Errored, Unconnected, Broken:
+		e.bad++
+		if e.bad >= 3 && e.bad > e.good/2 || e.asideUntil > 0 {
+			r.aside(e, "failing")
+		}
+	case TimedOut:
+		if e.asideUntil > 0 {
+			r.aside(e, "no answer")
+		}
+	}
+	if e.good+e.bad > 32 {
+		e.good, e.bad = e.good/2, e.bad/2
+	}
+}
+
+func (r *Router) aside(e *Engine, why string) {
+	if r.now < e.asideUntil {
+		return
+	}
+	e.backoff = min(max(asideFirst, 2*e.backoff), asideMost)
+	e.asideUntil = r.now + e.backoff*(0.75+0.5*r.draw())
+	r.log("engine %d aside for %.1f s: %s, good %.0f bad %.0f out %d", e.ID, e.backoff, why, e.good, e.bad, len(e.outs))
+}
+
+func (r *Router) reported(e *Engine, rep *Report) {
+	if *rep != e.report {
+		e.report, e.reportAt = *rep, r.now
+	}
+}
+
+// Probed ends a probe.
+func (r *Router) Probed(e *Engine, ok bool, rep *Report) {
+	e.probing = false
+	if ok && rep != nil {
+		e.reportAt = r.now
+		r.reported(e, rep)
+	}
+}
+
+// News tells of a dispatch that is out.
+func (r *Router) News(b *Batch, no int, kind Note, level float64) {
+	if no >= len(b.dispatches) || b.dispatches[no].ended {
+		return
+	}
+	d := b.dispatches[no]
+	d.engine.signAt = r.now
+	if kind == Progress {
+		d.share, d.shareAt = sane(level, 1), r.now
+	}
+}
+
+// Woken says that the time asked for has come.
+func (r *Router) Woken() { r.wakeAt = math.Inf(1) }
+
+// Next gives the next decision.
+func (r *Router) Next() Decision {
+	if r.now >= r.swept+sweepEvery {
+		r.swept = r.now
+		r.sweep()
+	}
+	if len(r.next) > 0 {
+		d := r.next[0]
+		r.next = r.next[1:]
+		return d
+	}
+	if r.set.MustAsk && !r.asked {
+		r.asked = true
+		return Decision{Kind: Subscribe}
+	}
+	for len(r.cancels) > 0 {
+		d := r.cancels[0]
+		r.cancels = r.cancels[1:]
+		if !d.ended {
+			return Decision{Kind: Cancel, Batch: d.batch, Number: d.number}
+		}
+	}
+	for len(r.dying) > 0 {
+		b := r.dying[0]
+		r.dying = r.dying[1:]
+		if !b.Over {
+			return r.giveUp(b)
+		}
+	}
+	if b, e := r.release(); b != nil {
+		return r.send(b, e)
+	}
+	if e := r.probe(); e != nil {
+		e.probing, e.probedAt = true, r.now
+		return Decision{Kind: Probe, Engine: e}
+	}
+	return r.wake()
+}
+
+func (r *Router) wake() Decision {
+	at := math.Inf(1)
+	if len(r.held) > 0 || slices.ContainsFunc(r.engines, func(e *Engine) bool { return len(e.outs) > 0 }) {
+		at = r.now + 2*sweepEvery
+	}
+	if len(r.held) > 0 && r.gateAt > r.now {
+		at = min(at, r.gateAt)
+	}
+	if at >= r.wakeAt && r.wakeAt > r.now || math.IsInf(at, 1) {
+		return Decision{}
+	}
+	r.wakeAt = at
+	return Decision{Kind: WakeAt, At: at}
+}
+
+// giveUp answers a batch for good, at once. A pushback is a promise that nothing ran or a repeat is harmless.
+func (r *Router) giveUp(b *Batch) Decision {
+	r.over(b)
+	g := b.Group
+	free := b.Out == 0 && b.bound == nil
+	if free || g.Effect == Repeatable || g.Effect == Referenced && g.Scope == WithinAll && r.now < b.firstSent()+g.Window {
+		wait := 0.0
+		if r.set.MayDefer {
+			wait = r.set.LongestDefer
+		}
+		return Decision{Kind: PushBack, Batch: b, Wait: wait}
+	}
+	return Decision{Kind: Fail, Batch: b}
+}
+
+func (b *Batch) firstSent() float64 {
+	if b.bound != nil {
+		return b.boundAt
+	}
+	return b.dispatches[0].sent
+}
+
+// again tells whether a batch may be dispatched once more.
+func (r *Router) again(b *Batch) bool {
+	if len(b.dispatches) == 0 {
+		return true
+	}
+	if len(b.dispatches) >= r.set.MostDispatches || b.Out > 0 {
+		return false
+	}
+	if b.bound != nil {
+		if b.Group.Effect == OnceOnly || b.Group.Effect == Referenced && r.now >= b.boundAt+b.Group.Window-r.set.Tick {
+			return false
+		}
+	}
+	return true
+}
+
+// rationed tells whether the budget of further dispatches is spent for now.
+func (r *Router) rationed() bool {
+	if !r.set.Rationed {
+		return false
+	}
+	since := func(list []float64) []float64 {
+		return list[sort.Search(len(list), func(i int) bool { return list[i] > r.now-r.set.FurtherWindow }):]
+	}
+	r.takes, r.furthers = since(r.takes), since(r.furthers)
+	return float64(len(r.furthers)+1) > r.set.FreeFurther+r.set.FurtherShare*float64(len(r.takes))
+}
+
+// sweep looks now and then at all that is held or out for what time alone has changed.
+func (r *Router) sweep() {
+	if !r.set.Rationed {
+		r.takes = r.takes[:0]
+	}
+	for _, b := range r.held {
+		if r.hopeless(b) {
+			r.dying = append(r.dying, b)
+		}
+	}
+	threads, cores := 0.0, 0.0
+	busy, told := 0.0, 0.0
+	for _, e := range r.engines {
+		late := 0
+		for _, d := range e.outs {
+			threads += d.threads
+			g := d.batch.Group
+			age, usual := r.now-d.sent, d.batch.alone*g.stretch.quantile(0.95, 8)
+			if age > overdue*usual+0.2 && e.signAt < d.sent {
+				late++
+			}
+			if r.set.MayCancel && !d.cancel && g.Effect == Repeatable && !d.batch.Over &&
+				len(d.batch.dispatches) < r.set.MostDispatches && r.startOver(d) {
+				d.cancel = true
+				r.cancels = append(r.cancels, d)
+			}
+		}
+		if late >= 3 || late > 0 && late == len(e.outs) && r.now-e.signAt > 1 {
+			r.aside(e, "silent")
+		}
+		if e.Phase == Ready {
+			cores += e.cores
+			if e.report.Busy >= 0 && e.reportAt > 0 {
+				busy, told = busy+e.report.Busy, told+1
+			}
+		}
+	}
+	if cores > 0 {
+		seen := threads / cores
+		if told > 0 {
+			seen = busy / told
+		}
+		r.load += (min(max(seen, 0), mostLoad) - r.load) * min(1, (r.now-r.loadAt)/loadTime)
+		r.loadAt = r.now
+	}
+}
+
+// startOver: a dispatch that tells of so little done that a fresh one would be far quicker (a bad plan, an engine
+// that crawls), or one on an engine set aside. It may hurt when all engines slow down at once; the learned stretch
+// then grows and ends it.
+func (r *Router) startOver(d *dispatch) bool {
+	usual := d.batch.alone * d.batch.Group.stretch.quantile(0.75, 4)
+	if d.engine.asideUntil > r.now && d.engine.signAt < d.sent {
+		return r.now+usual < d.batch.limitAt
+	}
+	if d.share <= 0 {
+		return false
+	}
+	age := d.shareAt - d.sent
+	rest := age*(1-d.share)/d.share - (r.now - d.shareAt)
+	return rest > restartGain*usual && r.now+usual < d.batch.limitAt
+}
+
+// hopeless: it can no longer be answered with any utility, or not be sent again.
+func (r *Router) hopeless(b *Batch) bool {
+	if !r.again(b) {
+		return true
+	}
+	end := b.limitAt
+	if b.Group.LateShare <= 0 {
+		end = min(end, b.goalAt)
+	}
+	return r.now+b.alone+3*sweepEvery > end
+}
+
+// release is the design's ordinary path: which batch leaves next, where to, and whether the gate lets it.
+func (r *Router) release() (*Batch, *Engine) {
+	for {
+		b := r.pick()
+		if b == nil {
+			return nil, nil
+		}
+		e, figure := r.place(b)
+		if e == nil {
+			b.redrawAt = r.now + redrawLeast
+			continue
+		}
+		if figure < mark || r.draw() < mark/figure {
+			return b, e
+		}
+		b.redrawAt = r.now + redrawLeast + (redrawMost-redrawLeast)*r.draw()
+	}
+}
+
+// pick: the smallest demand past twice the threshold; else, with more slow ones than the limit, the most slowed;
+// else the smallest demand.
+func (r *Router) pick() *Batch {
+	threshold := 1 / (1 - r.load)
+	var first, worst *Batch
+	slow, most := 0, 0.0
+	for _, b := range r.held {
+		if b.redrawAt > r.now || b.Over || !r.turn(b) || len(b.dispatches) > 0 && (!r.again(b) || r.rationed()) {
+			continue
+		}
+		if first == nil {
+			first = b
+		}
+		slowdown := (r.now - b.taken + b.alone) / max(b.alone, 1e-3)
+		if slowdown > 2*threshold {
+			return b
+		}
+		if slowdown > threshold {
+			if slow++; slowdown >= most {
+				worst, most = b, slowdown
+			}
+		}
+	}
+	if slow > slowLimit {
+		return worst
+	}
+	return first
+}
+
+// turn tells whether the key's earlier batches are over, have all their outcomes, and the key has rested.
+func (r *Router) turn(b *Batch) bool {
+	l := b.lane
+	return l == nil || l.line[0] == b && l.out == b.Out && (r.now >= l.restTo || l.restBy == b)
+}
+
+// place gives the engine with the lowest figure among those the batch may go to.
+func (r *Router) place(b *Batch) (best *Engine, figure float64) {
+	last := (*Engine)(nil)
+	if n := len(b.dispatches); n > 0 {
+		last = b.dispatches[n-1].engine
+	}
+	for _, e := range r.engines {
+		if !r.allowed(b, e) || !r.fit(b, e) {
+			continue
+		}
+		f := r.figure(e)
+		if e == last {
+			f += 1
+		}
+		if best == nil || f < figure {
+			best, figure = e, f
+		}
+	}
+	return best, figure
+}
+
+// allowed: what the rules say, at every dispatch.
+func (r *Router) allowed(b *Batch, e *Engine) bool {
+	g := b.Group
+	if e.Phase != Ready || g.Zones != nil && !slices.Contains(g.Zones, e.Zone) ||
+		g.Kinds != nil && !slices.Contains(g.Kinds, e.Kind) {
+		return false
+	}
+	if b.bound != nil && g.Effect == Referenced {
+		if g.Scope == WithinZone && e.Zone != b.bound.Zone || g.Scope == WithinCell && e.Cell != b.bound.Cell {
+			return false
+		}
+	}
+	return !r.cold(e) || r.coldRoom(e, b.demand)
+}
+
+func (r *Router) cold(e *Engine) bool {
+	return e.StartedAt > 0 && r.now < e.StartedAt+r.set.ColdTime+0.5
+}
+
+// coldRoom: our share of what may be sent to a cold engine in any window of the fall time. After our own start
+// nobody knows what we sent before, so the first window is taken as spent.
+func (r *Router) coldRoom(e *Engine, work float64) bool {
+	if r.now < r.started+r.set.FallTime {
+		return false
+	}
+	budget := coldShare * r.set.FallMultiple * r.set.ColdFrom * 0.85 * e.cores * r.set.FallTime / float64(r.set.Routers)
+	for _, s := range e.sends {
+		if s.at > r.now-r.set.FallTime-0.1 {
+			budget -= s.work
+		}
+	}
+	return work <= budget
+}
+
+// fit: health and memory. An engine set aside is tried with one batch at a time once its time has come.
+func (r *Router) fit(b *Batch, e *Engine) bool {
+	if e.asideUntil > 0 && (r.now < e.asideUntil || len(e.outs) > 0 && e.outs[len(e.outs)-1].sent > e.asideUntil) {
+		return false
+	}
+	if e.memory <= 0 || b.memory <= 0 || len(e.outs) == 0 {
+		return true
+	}
+	own, since := 0.0, 0.0
+	for _, d := range e.outs {
+		own += d.memory
+		if d.sent > e.reportAt-reportLag {
+			since += d.memory
+		}
+	}
+	used := own * float64(r.set.Routers)
+	if e.report.Memory >= 0 && r.now < e.reportAt+reportStale {
+		used = max(own, e.report.Memory*e.memory+since)
+	}
+	return used+b.memory*memorySpare <= memoryFull*e.memory
+}
+
+// figure is the engine's threads a core: its report's count and what was sent since; or own threads.
+func (r *Router) figure(e *Engine) float64 {
+	own, since := 0.0, 0.0
+	for _, d := range e.outs {
+		own += d.threads
+		if d.sent > e.reportAt-reportLag {
+			since += d.threads
+		}
+	}
+	if e.report.Held >= 0 && e.reportAt > 0 && r.now < e.reportAt+reportStale {
+		own = max(own, e.report.Held*r.meanThreads()+since)
+	}
+	return own / e.cores
+}
+
+// meanThreads is the mean of the service groups' threads, by how often they are out.
+func (r *Router) meanThreads() float64 {
+	sum, n := 0.0, 0.0
+	for _, g := range r.set.Groups {
+		sum, n = sum+g.Threads, n+1
+	}
+	return sum / n
+}
+
+// send books a dispatch; its terms go first.
+func (r *Router) send(b *Batch, e *Engine) Decision {
+	r.unhold(b)
+	if len(b.dispatches) > 0 {
+		r.furthers = append(r.furthers, r.now)
+	}
+	d := &dispatch{batch: b, engine: e, number: len(b.dispatches), sent: r.now, threads: b.Group.Threads}
+	d.memory = min(b.memory*memorySpare, r.set.LargestGrant*e.memory)
+	b.dispatches = append(b.dispatches, d)
+	e.outs = append(e.outs, d)
+	b.Out++
+	if b.lane != nil {
+		b.lane.out++
+	}
+	if r.cold(e) {
+		e.sends = slices.DeleteFunc(e.sends, func(s spend) bool { return s.at < r.now-r.set.FallTime-0.1 })
+		e.sends = append(e.sends, spend{r.now, b.demand})
+	}
+	wait := b.limitAt - r.now
+	if g := b.Group; g.Effect == Repeatable && len(b.dispatches) < r.set.MostDispatches {
+		own := overdue*b.alone*g.stretch.quantile(0.98, 16) + 0.5
+		if e.asideUntil > 0 {
+			own = b.alone*g.stretch.quantile(0.9, 4) + 0.5
+		}
+		if r.now+own+2*b.alone < b.limitAt {
+			wait = own
+		}
+	}
+	out := Decision{Kind: Dispatch, Batch: b, Engine: e, Number: d.number, Wait: wait}
+	if !r.set.Grants && !r.set.Priorities {
+		return out
+	}
+	terms := Decision{Kind: Terms, Batch: b, Priority: 1}
+	if r.set.Grants {
+		terms.Memory = d.memory
+	}
+	if r.set.Priorities {
+		terms.Priority = r.priority(b)
+	}
+	r.next = append(r.next, out)
+	return terms
+}
+
+// priority: the smaller the demand against the mean, the higher.
+func (r *Router) priority(b *Batch) int {
+	switch ratio := b.demand / max(r.meanDemand, 1e-6); {
+	case ratio < 0.5:
+		return 3
+	case ratio < 2:
+		return 2
+	case ratio < 8:
+		return 1
+	}
+	return 0
+}
+
+// probe gives the engine whose load is to be asked for, within what a probe is worth.
+func (r *Router) probe() *Engine {
+	if !r.set.MayProbe || r.probeCredit < 4 {
+		return nil
+	}
+	var oldest *Engine
+	for _, e := range r.engines {
+		if e.Phase == Ready && !e.probing && r.now > e.probedAt+0.25 && (oldest == nil || e.probedAt < oldest.probedAt) {
+			oldest = e
+		}
+	}
+	if oldest != nil {
+		r.probeCredit = min(r.probeCredit-4, 8)
+	}
+	return oldest
+}
--- /dev/null
+++ b/brain/types.go
@@ -0,0 +1,241 @@
+package brain
+
+// Effect says what a repeat of a batch would do; the zero value is the strictest.
+type Effect uint8
+
+// The three effects.
+const (
+	OnceOnly Effect = iota
+	Referenced
+	Repeatable
+)
+
+// Scope says which engines drop the repeats of a referenced batch; the zero value is the strictest.
+type Scope uint8
+
+// The three scopes.
+const (
+	WithinCell Scope = iota
+	WithinZone
+	WithinAll
+)
+
+// Shortage says what an engine does when grants pass its memory.
+type Shortage uint8
+
+// The three ways; the zero value is the one that asks most care.
+const (
+	Overcommit Shortage = iota
+	CutGrant
+	LineUp
+)
+
+// ServiceGroup is one kind of batch, as settings state it.
+type ServiceGroup struct {
+	Name        string
+	Effect      Effect
+	Scope       Scope
+	Window      float64 // seconds in which repeats are dropped
+	Goal        float64 // response goal, seconds
+	GoalStretch float64 // the goal grows by this times work over threads
+	Limit       float64 // time limit, seconds
+	Utility     float64
+	LateShare   float64 // part of the utility that an answer past the goal still earns
+	Threads     float64
+	Load        bool // holds its data set on its engine
+	Waits       bool // stands still while a load holds its data set
+	InOrder     bool
+	Zones       []int // nil: any
+	Kinds       []int // nil: any
+
+	groupState
+}
+
+// Client is one of those that share the service.
+type Client struct {
+	Quota float64 // batches a second within its share, over all routers
+}
+
+// Settings is what a router is told at its start. Times are seconds.
+type Settings struct {
+	Routers        int
+	Zone           int
+	Groups         []*ServiceGroup
+	Clients        []Client
+	OverShare      float64 // utility of a batch beyond its client's share
+	CoresByKind    []float64
+	MemoryByKind   []float64 // MB
+	LargestGrant   float64   // share of an engine's memory
+	Shortage       Shortage
+	Grants         bool
+	Priorities     bool
+	NotesEvery     float64
+	MayCancel      bool
+	MayProbe       bool
+	MayCopy        bool
+	MayDefer       bool // a pushback may say when to come back
+	LongestDefer   float64
+	MostDispatches int
+	ProbePrice     float64
+	ColdFrom       float64
+	ColdTime       float64
+	FallMultiple   float64
+	FallTime       float64
+	SettleTime     float64
+	Rationed       bool // further dispatches have a budget
+	FreeFurther    float64
+	FurtherShare   float64
+	FurtherWindow  float64
+	MustAsk        bool // the list of engines comes only when asked for
+	Tick           float64
+}
+
+// Phase is what the list says of an engine.
+type Phase uint8
+
+// The phases; what is not known counts as gone.
+const (
+	Gone Phase = iota
+	Draining
+	Ready
+)
+
+// Engine is one engine as the list names it. The same pointer stands for it as long as a router lives.
+type Engine struct {
+	ID        uint32
+	Phase     Phase
+	Size      float64 // a number without unit, to be compared with other engines'
+	StartedAt float64 // 0: long ago
+	Cell      int
+	Kind      int
+	Zone      int
+
+	engineState
+}
+
+// Report is what an engine says of its load; what is absent is below 0.
+type Report struct{ Held, Waiting, Busy, Memory, Disks float64 }
+
+// Batch is one client's try.
+type Batch struct {
+	ID     uint64
+	Group  *ServiceGroup
+	Client int // -1: none
+	Key    uint64
+	Left   float64 // seconds until the client stops waiting
+	Cost   float64 // told work in seconds; 0: none
+	Memory float64 // told need in MB; 0: none
+	Tables float64 // its data set
+	Over   bool    // finally answered or gone
+	Out    int     // dispatches without an outcome
+
+	batchState
+}
+
+// Ending is how a dispatch ended.
+type Ending uint8
+
+// The endings; TurnedAway, Unconnected and NotSent prove that it never ran.
+const (
+	Errored Ending = iota
+	Returned
+	TurnedAway
+	TimedOut
+	Unconnected
+	Broken
+	Withdrawn
+	NotSent
+)
+
+// Note is news of a dispatch that is out.
+type Note uint8
+
+// The notes.
+const (
+	Progress Note = iota + 1
+	Spills
+	Waits
+)
+
+// Kind says what a decision asks the host to do.
+type Kind uint8
+
+// The kinds; the zero value ends the pulling.
+const (
+	Nothing   Kind = iota
+	Terms          // Memory and Priority for the batch's next dispatch
+	Dispatch       // Batch to Engine, within Wait seconds
+	PushBack       // final; the client may come back after Wait seconds (0: no advice)
+	Fail           // final
+	Cancel         // dispatch Number of Batch
+	Probe          // Engine
+	WakeAt         // call the router again at At
+	Subscribe      // to the list of engines
+	Log            // Text
+)
+
+// Decision is one thing for the host to do.
+type Decision struct {
+	Kind     Kind
+	Batch    *Batch
+	Engine   *Engine
+	Number   int
+	Wait     float64
+	Memory   float64
+	Priority int
+	At       float64
+	Text     string
+}
+
+// What the module keeps with its objects; the host leaves it alone.
+
+type groupState struct {
+	told, needed, seen         float64 // sums of told and true work of what was told, halved from time to time
+	work, count                float64 // sum of true work, and of how many
+	memTold, memNeeded, memory float64 // the same for memory, and its plain sum
+	stretch                    histogram
+}
+
+type engineState struct {
+	cores, memory       float64
+	outs                []*dispatch
+	report              Report
+	reportAt, probedAt  float64 // when the report last changed, when a probe last went out
+	probing             bool
+	signAt              float64 // last sign of life
+	asideUntil, backoff float64 // set aside; 0: not
+	good, bad           float64 // endings, halved from time to time
+	sends               []spend
+	pace                float64
+}
+
+type batchState struct {
+	taken, alone, demand, memory float64
+	goalAt, limitAt, redrawAt    float64
+	dispatches                   []*dispatch
+	lane                         *lane
+	bound                        *Engine // may have run there
+	boundAt                      float64
+	lost                         bool // no dispatch is allowed any more
+	pushed                       bool
+}
+
+type dispatch struct {
+	batch         *Batch
+	engine        *Engine
+	number        int
+	sent, threads float64
+	memory, share float64 // share done, as last told
+	shareAt       float64
+	ended, cancel bool
+}
+
+type spend struct{ at, work float64 }
+
+// lane is the line of the batches of one key.
+type lane struct {
+	line   []*Batch
+	out    int
+	restTo float64
+	restBy *Batch
+}
--- /dev/null
+++ b/cmd/simhost/host.go
@@ -0,0 +1,251 @@
+package main
+
+import (
+	"fmt"
+
+	"pitchfield/brain"
+	"pitchfield/simwire"
+)
+
+// router is one instance: its module and its id-to-pointer maps.
+type router struct {
+	id      uint16
+	brain   *brain.Router
+	batches map[uint64]*brain.Batch
+	engines map[uint32]*brain.Engine
+	groups  []*brain.ServiceGroup
+	clients int
+	reports []string
+	touched bool
+}
+
+// host holds the instances of this process. They share nothing but the directory pages of the wire.
+type host struct {
+	routers map[uint16]*router
+	pages   map[uint32][]simwire.Entry
+	touched []*router
+	reply   simwire.Reply
+	floats  []float64
+}
+
+const (
+	listFull   = 1
+	listCached = 2
+	listFailed = 3
+	costMark  = 1
+)
+
+var (
+	phases  = map[uint8]brain.Phase{0: brain.Draining, 2: brain.Ready}
+	endings = map[uint8]brain.Ending{0: brain.Errored, 1: brain.Returned, 2: brain.TurnedAway, 3: brain.TimedOut,
+		4: brain.Unconnected, 5: brain.Broken, 6: brain.Withdrawn, 7: brain.NotSent}
+	notes = map[uint8]brain.Note{1: brain.Progress, 2: brain.Spills, 3: brain.Waits}
+)
+
+// answer handles one frame; the reply is in h.reply.
+func (h *host) answer(f *simwire.Frame) error {
+	h.reply.Reset()
+	h.touched = h.touched[:0]
+	for {
+		rec, err := f.Next()
+		if err != nil {
+			return err
+		}
+		if rec == nil {
+			break
+		}
+		if rec.Code == simwire.Directory {
+			page, list := rec.Entries()
+			h.pages[page] = list
+		} else if err := h.event(rec, f.Now/1000); err != nil {
+			return fmt.Errorf("record %d (code %d): %w", rec.Number, rec.Code, err)
+		}
+		if err := rec.Err(); err != nil {
+			return err
+		}
+	}
+	for _, rt := range h.touched {
+		if h.routers[rt.id] == rt {
+			h.pull(rt)
+		}
+		rt.touched = false
+	}
+	return nil
+}
+
+func (h *host) event(rec *simwire.Record, now float64) error {
+	if rec.Code < simwire.Destroy || rec.Code > simwire.Pong {
+		return nil
+	}
+	id := rec.U16()
+	if rec.Err() != nil {
+		return nil
+	}
+	switch rec.Code {
+	case simwire.Destroy:
+		delete(h.routers, id)
+		return nil
+	case simwire.NewInstance:
+		seed := rec.U64()
+		text := rec.Bytes()
+		if rec.Err() != nil {
+			return nil
+		}
+		s, names, err := decodeSettings(text)
+		if err != nil {
+			return err
+		}
+		h.routers[id] = &router{id: id, brain: brain.New(s, seed, now), batches: map[uint64]*brain.Batch{},
+			engines: map[uint32]*brain.Engine{}, groups: s.Groups, clients: len(s.Clients), reports: names}
+	}
+	rt := h.routers[id]
+	if rt == nil {
+		return nil
+	}
+	if !rt.touched {
+		rt.touched = true
+		h.touched = append(h.touched, rt)
+	}
+	rt.brain.Clock(now)
+	switch rec.Code {
+	case simwire.Endpoints:
+		h.endpoints(rt, rec)
+	case simwire.JobIn:
+		rt.jobIn(rec)
+	case simwire.Pong:
+		e, status := rt.engines[rec.U32()], rec.U8()
+		rec.F64()
+		if rep := rt.report(rec, h); e != nil && rec.Err() == nil {
+			rt.brain.Probed(e, status == 1, rep)
+		}
+	case simwire.Outcome:
+		b, last, no, status := rt.batches[rec.U64()], rec.U8() != 0, int(rec.U16()), rec.U8()
+		rec.U32()
+		elapsed, used := rec.F64()/1000, rec.U32()
+		rep := rt.report(rec, h)
+		if b != nil && rec.Err() == nil {
+			work, memory := float64(used>>12)/1000, float64(used&0xfff)*4
+			rt.brain.Outcome(b, no, endings[status], last, elapsed, work, memory, rep)
+			rt.forget(b)
+		}
+	case simwire.Aborted:
+		if b := rt.batches[rec.U64()]; b != nil {
+			rt.brain.Left(b)
+			rt.forget(b)
+		}
+	case simwire.UpdateOf:
+		b, kind := rt.batches[rec.U64()], rec.U8()
+		rec.U32()
+		level, no := rec.F32(), int(rec.U16())
+		if b != nil && rec.Err() == nil {
+			rt.brain.News(b, no, notes[kind], level)
+		}
+	case simwire.Ring:
+		rt.brain.Woken()
+	}
+	return nil
+}
+
+// forget drops a batch that is over and has no dispatch out; later news of it is ignored.
+func (rt *router) forget(b *brain.Batch) {
+	if b.Over && b.Out == 0 {
+		delete(rt.batches, b.ID)
+	}
+}
+
+func (rt *router) jobIn(rec *simwire.Record) {
+	b := &brain.Batch{ID: rec.U64()}
+	group, org := int(rec.U8()), int(rec.U32())
+	b.Key, b.Left = rec.U64(), rec.F64()/1000
+	cost, memory, tables, marks := rec.F64()/1000, rec.F32(), rec.F32(), rec.U16()
+	if rec.Err() != nil || group >= len(rt.groups) || rt.batches[b.ID] != nil {
+		return
+	}
+	b.Group, b.Memory, b.Tables, b.Client = rt.groups[group], memory, tables, -1
+	if org < rt.clients {
+		b.Client = org
+	}
+	if marks&costMark != 0 {
+		b.Cost = cost
+	}
+	rt.batches[b.ID] = b
+	rt.brain.Take(b)
+}
+
+func (h *host) endpoints(rt *router, rec *simwire.Record) {
+	form, _, page := rec.U8(), rec.U32(), rec.U32()
+	if rec.Err() != nil {
+		return
+	}
+	if form == listFailed {
+		rt.brain.ListFailed()
+		return
+	}
+	var list []*brain.Engine
+	for _, en := range h.pages[page] {
+		e := rt.engines[en.Engine]
+		if e == nil {
+			e = &brain.Engine{ID: en.Engine}
+			rt.engines[en.Engine] = e
+		}
+		e.Phase, e.Size, e.StartedAt = phases[en.Phase], en.PowerHint, en.StartMS/1000
+		e.Cell, e.Kind, e.Zone = int(en.Pack), int(en.Kind), int(en.Site)
+		list = append(list, e)
+	}
+	rt.brain.Listed(list, form == listFull || form == listCached)
+}
+
+func (rt *router) report(rec *simwire.Record, h *host) *brain.Report {
+	h.floats = rec.Floats(h.floats[:0])
+	if len(h.floats) == 0 {
+		return nil
+	}
+	rep := &brain.Report{Held: -1, Waiting: -1, Busy: -1, Memory: -1, Disks: -1}
+	for i, v := range h.floats {
+		switch at(rt.reports, i) {
+		case "active":
+			rep.Held = v
+		case "waiting":
+			rep.Waiting = v
+		case "cpu":
+			rep.Busy = v
+		case "x0":
+			rep.Memory = v
+		case "x1":
+			rep.Disks = v
+		}
+	}
+	return rep
+}
+
+// pull writes the module's decisions as they come.
+func (h *host) pull(rt *router) {
+	w := &h.reply
+	for {
+		d := rt.brain.Next()
+		switch d.Kind {
+		case brain.Nothing:
+			return
+		case brain.Terms:
+			w.AssignTerms(rt.id, d.Batch.ID, d.Memory, uint8(d.Priority))
+		case brain.Dispatch:
+			w.Try(rt.id, d.Batch.ID, d.Engine.ID, d.Wait*1000)
+		case brain.PushBack:
+			w.Bounce(rt.id, d.Batch.ID, d.Wait*1000)
+			rt.forget(d.Batch)
+		case brain.Fail:
+			w.EndFailed(rt.id, d.Batch.ID)
+			rt.forget(d.Batch)
+		case brain.Cancel:
+			w.StopAttempt(rt.id, d.Batch.ID, uint16(d.Number))
+		case brain.Probe:
+			w.Poll(rt.id, d.Engine.ID)
+		case brain.WakeAt:
+			w.NotifyMe(rt.id, d.At*1000, 0)
+		case brain.Subscribe:
+			w.Listen(rt.id)
+		case brain.Log:
+			w.Print(rt.id, d.Text)
+		}
+	}
+}
--- /dev/null
+++ b/cmd/simhost/settings.go
@@ -0,0 +1,127 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"pitchfield/brain"
+)
+
+// options are the settings as the wire words them, in milliseconds.
+type options struct {
+	Zone      int    `json:"az"`
+	Balancers int    `json:"balancers"`
+	Discovery string `json:"discovery"`
+	Grades    []struct {
+		Name        string   `json:"name"`
+		AimStretch  float64  `json:"aim-stretch"`
+		OnTime      *float64 `json:"on-time-ms"`
+		Deadline    *float64 `json:"deadline-ms"`
+		Idempotency string   `json:"idempotency"`
+		Group       string   `json:"group"`
+		ByArrival   bool     `json:"by-arrival"`
+		LateWorth   float64  `json:"late-worth"`
+		Worth       float64  `json:"worth"`
+		Window      float64  `json:"window-ms"`
+		RunsIn      []int    `json:"runs-in"`
+		Flavors     []int    `json:"flavors-allowed"`
+	} `json:"grades"`
+	Customers []struct {
+		Quota float64 `json:"quota-per-s"`
+	} `json:"customers"`
+	OverShare float64 `json:"over-share-worth"`
+	Specifics struct {
+		Writes   []bool    `json:"writes-tables"`
+		Yields   []bool    `json:"yields-to-loads"`
+		Dop      []float64 `json:"dop"`
+		Grants   bool      `json:"grants"`
+		Cores    []float64 `json:"cores-by-kind"`
+		Memory   []float64 `json:"memory-by-kind-mb"`
+		Largest  float64   `json:"largest-share"`
+		Priority bool      `json:"takes-priority"`
+		Pace     float64   `json:"progress-pace-ms"`
+		Over     string    `json:"overbooked"`
+	} `json:"specifics"`
+	Limits struct {
+		Cancel     bool    `json:"cancel"`
+		Probe      bool    `json:"may-probe"`
+		Duplicate  bool    `json:"may-duplicate"`
+		RetryAfter bool    `json:"retry-after"`
+		MaxRetry   float64 `json:"max-retry-after-ms"`
+		Attempts   int     `json:"attempts-cap"`
+	} `json:"limits"`
+	Prices struct {
+		Probe float64 `json:"probe"`
+	} `json:"prices"`
+	Feedback struct {
+		Names []string `json:"names"`
+	} `json:"feedback"`
+	Rules struct {
+		ColdFrom     float64  `json:"cold-from"`
+		Cold         float64  `json:"cold-ms"`
+		FallMultiple float64  `json:"fall-multiple"`
+		Fall         float64  `json:"fall-ms"`
+		Settle       float64  `json:"settle-after-doubt-ms"`
+		ExtraFree    *float64 `json:"extra-free"`
+		FurtherRatio *float64 `json:"further-ratio"`
+		LookBack     *float64 `json:"look-back-ms"`
+	} `json:"rules"`
+	Tick float64 `json:"tick-ms"`
+}
+
+var (
+	effects   = map[string]brain.Effect{"idempotent": brain.Repeatable, "deduplicated": brain.Referenced}
+	scopes    = map[string]brain.Scope{"all": brain.WithinAll, "zone": brain.WithinZone}
+	shortages = map[string]brain.Shortage{"line_up": brain.LineUp, "cut": brain.CutGrant}
+)
+
+func at[T any](list []T, i int) (v T) {
+	if i >= 0 && i < len(list) {
+		v = list[i]
+	}
+	return v
+}
+
+func value(p *float64) float64 {
+	if p == nil {
+		return 0
+	}
+	return *p
+}
+
+// decodeSettings gives the module's settings and the names of the report's values in their order.
+func decodeSettings(text []byte) (brain.Settings, []string, error) {
+	var o options
+	if err := json.Unmarshal(text, &o); err != nil {
+		return brain.Settings{}, nil, fmt.Errorf("settings: %w", err)
+	}
+	if len(o.Grades) == 0 {
+		return brain.Settings{}, nil, errors.New("settings: no grades")
+	}
+	s := brain.Settings{Routers: o.Balancers, Zone: o.Zone, OverShare: o.OverShare,
+		CoresByKind: o.Specifics.Cores, MemoryByKind: o.Specifics.Memory, LargestGrant: o.Specifics.Largest,
+		Shortage: shortages[o.Specifics.Over], Grants: o.Specifics.Grants, Priorities: o.Specifics.Priority,
+		NotesEvery: o.Specifics.Pace / 1000, MayCancel: o.Limits.Cancel, MayProbe: o.Limits.Probe,
+		MayCopy: o.Limits.Duplicate, MayDefer: o.Limits.RetryAfter, LongestDefer: o.Limits.MaxRetry / 1000,
+		MostDispatches: o.Limits.Attempts, ProbePrice: o.Prices.Probe, ColdFrom: o.Rules.ColdFrom,
+		ColdTime: o.Rules.Cold / 1000, FallMultiple: o.Rules.FallMultiple, FallTime: o.Rules.Fall / 1000,
+		SettleTime: o.Rules.Settle / 1000, FreeFurther: value(o.Rules.ExtraFree),
+		FurtherShare: value(o.Rules.FurtherRatio), FurtherWindow: value(o.Rules.LookBack) / 1000,
+		Rationed: o.Rules.ExtraFree != nil || o.Rules.FurtherRatio != nil || o.Rules.LookBack != nil,
+		MustAsk:  o.Discovery != "push", Tick: o.Tick / 1000}
+	for i, g := range o.Grades {
+		if g.OnTime == nil || g.Deadline == nil {
+			return s, nil, fmt.Errorf("settings: grade %d lacks on-time-ms or deadline-ms", i)
+		}
+		s.Groups = append(s.Groups, &brain.ServiceGroup{Name: g.Name, Effect: effects[g.Idempotency],
+			Scope: scopes[g.Group], Window: g.Window / 1000, Goal: *g.OnTime / 1000, GoalStretch: g.AimStretch,
+			Limit: *g.Deadline / 1000, Utility: g.Worth, LateShare: g.LateWorth, Threads: at(o.Specifics.Dop, i),
+			Load: at(o.Specifics.Writes, i), Waits: at(o.Specifics.Yields, i), InOrder: g.ByArrival,
+			Zones: g.RunsIn, Kinds: g.Flavors})
+	}
+	for _, c := range o.Customers {
+		s.Clients = append(s.Clients, brain.Client{Quota: c.Quota})
+	}
+	return s, o.Feedback.Names, nil
+}
--- /dev/null
+++ b/simwire/simwire.go
@@ -0,0 +1,280 @@
+// Package simwire frames and codes the records of the simulator's wire (its words, its units: milliseconds).
+package simwire
+
+import (
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+)
+
+// Codes of the events.
+const (
+	Destroy     = 1
+	Message     = 2
+	Started     = 3
+	Outcome     = 4
+	JobIn       = 5
+	Aborted     = 6
+	Ring        = 7
+	Directory   = 8
+	UpdateOf    = 9
+	Endpoints   = 10
+	NewInstance = 11
+	Pong        = 12
+)
+
+// Codes of the actions.
+const (
+	tryCode    = 11
+	lookup     = 2
+	notifyMe   = 7
+	assign     = 12
+	bounce     = 9
+	stop       = 3
+	printLine  = 10
+	listen     = 13
+	endFailed  = 5
+	poll       = 6
+	headerSize = 16
+)
+
+// Frame is one batch of events as it came in.
+type Frame struct {
+	Now     float64
+	Records int
+	body    []byte
+	read    int
+}
+
+// ReadFrame reads one frame; io.EOF says that the input has ended between frames. Memory is taken as
+// bytes arrive, never on the word of the length field.
+func ReadFrame(in io.Reader, into *bytes.Buffer) (*Frame, error) {
+	into.Reset()
+	n, err := io.CopyN(into, in, headerSize)
+	if n == 0 && errors.Is(err, io.EOF) {
+		return nil, io.EOF
+	}
+	if err != nil {
+		return nil, fmt.Errorf("frame header: %d of %d bytes: %w", n, headerSize, err)
+	}
+	head := into.Bytes()
+	size := int64(binary.LittleEndian.Uint32(head))
+	records := int(binary.LittleEndian.Uint32(head[4:]))
+	now := math.Float64frombits(binary.LittleEndian.Uint64(head[8:]))
+	if size < headerSize {
+		return nil, fmt.Errorf("frame header: length %d is under the header's own", size)
+	}
+	if math.IsNaN(now) || math.IsInf(now, 0) {
+		return nil, fmt.Errorf("frame header: clock is not a number")
+	}
+	if n, err = io.CopyN(into, in, size-headerSize); err != nil {
+		return nil, fmt.Errorf("frame body: %d of %d bytes: %w", n, size-headerSize, err)
+	}
+	return &Frame{Now: now, Records: records, body: into.Bytes()[headerSize:]}, nil
+}
+
+// Next gives the following record, nil after the last.
+func (f *Frame) Next() (*Record, error) {
+	left := f.body
+	if f.read == f.Records {
+		if len(left) > 0 {
+			return nil, fmt.Errorf("frame: %d bytes after the last of %d records", len(left), f.Records)
+		}
+		return nil, nil
+	}
+	f.read++
+	if len(left) < 5 {
+		return nil, fmt.Errorf("record %d: frame ends inside its head", f.read)
+	}
+	size := binary.LittleEndian.Uint32(left[1:])
+	if uint64(size) > uint64(len(left)-5) {
+		return nil, fmt.Errorf("record %d (code %d): length %d, but %d bytes remain", f.read, left[0], size, len(left)-5)
+	}
+	f.body = left[5+size:]
+	return &Record{Code: left[0], Number: f.read, fields: left[5 : 5+size]}, nil
+}
+
+// Record is one event; its fields are read in turn. The first that is missing sets Err.
+type Record struct {
+	Code   uint8
+	Number int
+	fields []byte
+	short  bool
+}
+
+// Err tells whether a field was missing.
+func (r *Record) Err() error {
+	if r.short {
+		return fmt.Errorf("record %d (code %d): fields are cut short", r.Number, r.Code)
+	}
+	return nil
+}
+
+var zeros [8]byte
+
+func (r *Record) take(n int) []byte {
+	if n > len(r.fields) {
+		r.short, r.fields = true, nil
+		if n > len(zeros) {
+			return nil
+		}
+		return zeros[:n]
+	}
+	out := r.fields[:n]
+	r.fields = r.fields[n:]
+	return out
+}
+
+// U8 reads one byte.
+func (r *Record) U8() uint8 { return r.take(1)[0] }
+
+// U16 reads two bytes.
+func (r *Record) U16() uint16 { return binary.LittleEndian.Uint16(r.take(2)) }
+
+// U32 reads four bytes.
+func (r *Record) U32() uint32 { return binary.LittleEndian.Uint32(r.take(4)) }
+
+// U64 reads eight bytes.
+func (r *Record) U64() uint64 { return binary.LittleEndian.Uint64(r.take(8)) }
+
+// F32 reads a float of four bytes.
+func (r *Record) F32() float64 { return float64(math.Float32frombits(r.U32())) }
+
+// F64 reads a float of eight bytes.
+func (r *Record) F64() float64 { return math.Float64frombits(r.U64()) }
+
+// Bytes reads a u32 count and as many bytes.
+func (r *Record) Bytes() []byte { return r.take(int(r.U32())) }
+
+// Floats reads a u8 count and as many floats of four bytes.
+func (r *Record) Floats(into []float64) []float64 {
+	n := int(r.U8())
+	if n*4 > len(r.fields) {
+		r.short = true
+		return nil
+	}
+	for range n {
+		into = append(into, r.F32())
+	}
+	return into
+}
+
+// Entry is one line of a directory page.
+type Entry struct {
+	Phase      uint8
+	PowerHint  float64
+	StartMS    float64
+	Pack       uint16
+	Engine     uint32
+	Kind, Site uint16
+}
+
+// Entries reads a page: its number and its lines.
+func (r *Record) Entries() (page uint32, list []Entry) {
+	const size = 23
+	page = r.U32()
+	n := uint64(r.U32())
+	if n*size > uint64(len(r.fields)) {
+		r.short = true
+		return page, nil
+	}
+	for range n {
+		list = append(list, Entry{Phase: r.U8(), PowerHint: r.F32(), StartMS: r.F64(), Pack: r.U16(),
+			Engine: r.U32(), Kind: r.U16(), Site: r.U16()})
+	}
+	return page, list
+}
+
+// Reply gathers the actions that answer one frame.
+type Reply struct{ buf []byte }
+
+// Reset empties the reply.
+func (w *Reply) Reset() { w.buf = append(w.buf[:0], 0, 0, 0, 0) }
+
+// Bytes gives the finished frame.
+func (w *Reply) Bytes() []byte {
+	binary.LittleEndian.PutUint32(w.buf, uint32(len(w.buf)))
+	return w.buf
+}
+
+func (w *Reply) head(code uint8, size int, router uint16) {
+	w.buf = append(w.buf, code)
+	w.buf = binary.LittleEndian.AppendUint32(w.buf, uint32(size))
+	w.buf = binary.LittleEndian.AppendUint16(w.buf, router)
+}
+
+func (w *Reply) u16(v uint16)  { w.buf = binary.LittleEndian.AppendUint16(w.buf, v) }
+func (w *Reply) u32(v uint32)  { w.buf = binary.LittleEndian.AppendUint32(w.buf, v) }
+func (w *Reply) u64(v uint64)  { w.buf = binary.LittleEndian.AppendUint64(w.buf, v) }
+func (w *Reply) f64(v float64) { w.u64(math.Float64bits(v)) }
+
+// Try starts an attempt.
+func (w *Reply) Try(router uint16, request uint64, engine uint32, withinMS float64) {
+	w.head(tryCode, 22, router)
+	w.u64(request)
+	w.u32(engine)
+	w.f64(withinMS)
+}
+
+// AssignTerms names memory and priority for what is sent next.
+func (w *Reply) AssignTerms(router uint16, request uint64, workspaceMB float64, importance uint8) {
+	w.head(assign, 15, router)
+	w.u64(request)
+	w.u32(math.Float32bits(float32(workspaceMB)))
+	w.buf = append(w.buf, importance)
+}
+
+// Bounce rejects a request for good.
+func (w *Reply) Bounce(router uint16, request uint64, comeBackMS float64) {
+	w.head(bounce, 18, router)
+	w.u64(request)
+	w.f64(comeBackMS)
+}
+
+// EndFailed fails a request for good.
+func (w *Reply) EndFailed(router uint16, request uint64) {
+	w.head(endFailed, 10, router)
+	w.u64(request)
+}
+
+// StopAttempt withdraws one attempt.
+func (w *Reply) StopAttempt(router uint16, request uint64, sendNo uint16) {
+	w.head(stop, 12, router)
+	w.u64(request)
+	w.u16(sendNo)
+}
+
+// Poll probes an engine.
+func (w *Reply) Poll(router uint16, engine uint32) {
+	w.head(poll, 6, router)
+	w.u32(engine)
+}
+
+// NotifyMe sets a timer.
+func (w *Reply) NotifyMe(router uint16, atMS float64, mark uint32) {
+	w.head(notifyMe, 14, router)
+	w.f64(atMS)
+	w.u32(mark)
+}
+
+// Lookup asks discovery for the whole list once.
+func (w *Reply) Lookup(router uint16) { w.head(lookup, 2, router) }
+
+// Listen subscribes to discovery.
+func (w *Reply) Listen(router uint16) {
+	w.head(listen, 3, router)
+	w.buf = append(w.buf, 1)
+}
+
+// Print writes a line into the report.
+func (w *Reply) Print(router uint16, text string) {
+	if len(text) > math.MaxUint16 {
+		text = text[:math.MaxUint16]
+	}
+	w.head(printLine, 4+len(text), router)
+	w.u16(uint16(len(text)))
+	w.buf = append(w.buf, text...)
+}
