--- a/brain/brain.go
+++ b/brain/brain.go
@@ -185,6 +185,9 @@
 	r.takes = append(r.takes, r.now)
 	r.probeCredit++
 	r.hold(b)
+	if b.Left < 4*sweepEvery { // a client's late try: no time to wait for the next sweep
+		r.swept = math.Inf(-1)
+	}
 }
 
 func (r *Router) hold(b *Batch) {
