--- a/brain/brain.go
+++ b/brain/brain.go
@@ -522,7 +522,7 @@
 
 // release is the design's ordinary path: which batch leaves next, where to, and whether the gate lets it.
 func (r *Router) release() (*Batch, *Engine) {
-	for {
+	for r.now >= r.gateAt {
 		b := r.pick()
 		if b == nil {
 			return nil, nil
@@ -535,8 +535,11 @@
 		if figure < mark || r.draw() < mark/figure {
 			return b, e
 		}
-		b.redrawAt = r.now + redrawLeast + (redrawMost-redrawLeast)*r.draw()
+		// The page lets the batch redraw. With many held that opens the gate again for each of them, and a
+		// crowd walks through it: the whole gateway waits for the redraw instead.
+		r.gateAt = r.now + redrawLeast + (redrawMost-redrawLeast)*r.draw()
 	}
+	return nil, nil
 }
 
 // pick: the smallest demand past twice the threshold; else, with more slow ones than the limit, the most slowed;
