--- a/brain/brain.go
+++ b/brain/brain.go
@@ -30,6 +30,7 @@
 	asideFirst  = 1.0  // an engine set aside is tried again after this, doubled each time
 	asideMost   = 8.0
 	sweepEvery  = 0.05
+	presentTime = 5.0 // how long a service group's dispatches count towards the mean threads
 	overdue     = 2.0 // times the usual longest time
 	restartGain = 2.0 // a dispatch starts over when that looks so many times quicker
 )
@@ -455,6 +456,9 @@
 			r.dying = append(r.dying, b)
 		}
 	}
+	for _, g := range r.set.Groups {
+		g.present *= 1 - sweepEvery/presentTime
+	}
 	threads, cores := 0.0, 0.0
 	busy, told := 0.0, 0.0
 	for _, e := range r.engines {
@@ -462,6 +466,7 @@
 		for _, d := range e.outs {
 			threads += d.threads
 			g := d.batch.Group
+			g.present++
 			age, usual := r.now-d.sent, d.batch.alone*g.stretch.quantile(0.95, 8)
 			if age > overdue*usual+0.2 && e.signAt < d.sent {
 				late++
@@ -673,7 +678,7 @@
 func (r *Router) meanThreads() float64 {
 	sum, n := 0.0, 0.0
 	for _, g := range r.set.Groups {
-		sum, n = sum+g.Threads, n+1
+		sum, n = sum+(g.present+1)*g.Threads, n+g.present+1
 	}
 	return sum / n
 }
--- a/brain/types.go
+++ b/brain/types.go
@@ -194,6 +194,7 @@
 	work, count                float64 // sum of true work, and of how many
 	memTold, memNeeded, memory float64 // the same for memory, and its plain sum
 	stretch                    histogram
+	present                    float64 // dispatches out, summed over the last sweeps
 }
 
 type engineState struct {
--- a/cmd/simhost/host.go
+++ b/cmd/simhost/host.go
@@ -32,7 +32,7 @@
 	listFull   = 1
 	listCached = 2
 	listFailed = 3
-	costMark  = 1
+	costMark   = 1
 )
 
 var (
