--- a/brain/brain.go
+++ b/brain/brain.go
@@ -14,7 +14,11 @@
 
 // The design's values (ours to tune) and those of what it leaves open. Times are seconds.
 const (
-	mark        = 1.5  // threads a core below which a batch starts
+	firstMark   = 1.5 // threads a core below which a batch starts; then it follows the stretch of answers
+	leastMark   = 0.4
+	mostMark    = 4.0
+	markStep    = 0.02
+	goodStretch = 2.0  // time over time alone of answers from engines that are full but not crowded
 	slowLimit   = 4    // slow batches that may wait before the most slowed leaves
 	firstLoad   = 0.9  // load until something is seen
 	mostLoad    = 0.95 // clamp of the load
@@ -78,6 +82,7 @@
 	furthers     []float64
 	lanes        map[uint64]*lane
 	load, loadAt float64
+	mark         float64
 	meanDemand   float64
 	gateAt       float64 // the gate stays shut until then
 	swept        float64
@@ -102,7 +107,7 @@
 		g.Threads = max(g.Threads, 1)
 	}
 	return &Router{set: s, now: now, started: now, random: seed&0xffffffff | 1<<33, lanes: map[uint64]*lane{},
-		load: firstLoad, loadAt: now, swept: math.Inf(-1), wakeAt: math.Inf(1)}
+		load: firstLoad, mark: firstMark, loadAt: now, swept: math.Inf(-1), wakeAt: math.Inf(1)}
 }
 
 // draw gives a number from 0 to 1 by multiply with carry.
@@ -247,6 +252,7 @@
 			b.bound, b.boundAt = e, d.sent
 		}
 	}
+	r.gateAt = r.now
 	r.judge(e, end)
 	if end == Returned && work > 0 {
 		r.learn(b, g, took, sane(work, 1e5), sane(memory, 1e7))
@@ -270,6 +276,11 @@
 		g.memTold, g.memNeeded = g.memTold+b.Memory, g.memNeeded+memory
 	}
 	g.work, g.memory, g.count = g.work+work, g.memory+memory, g.count+1
+	// The mark is the threads a core at which answers take about so long: figures that leave out other
+	// routers' threads, spilling, busy disks and slow cores all show there. It only rises while batches wait.
+	if step := math.Log(goodStretch * work / (g.Threads * max(took, 1e-3))); step < 0 || len(r.held) > 0 {
+		r.mark = min(max(r.mark*(1+markStep*min(max(step, -1), 1)), leastMark), mostMark)
+	}
 	g.stretch.add(took / max(b.alone, 1e-3))
 	if g.count >= 128 {
 		for _, v := range []*float64{&g.told, &g.needed, &g.seen, &g.memTold, &g.memNeeded, &g.work, &g.memory, &g.count} {
@@ -537,7 +548,7 @@
 			b.redrawAt = r.now + redrawLeast
 			continue
 		}
-		if figure < mark || r.draw() < mark/figure {
+		if figure < r.mark || r.draw() < r.mark/figure {
 			return b, e
 		}
 		// The page lets the batch redraw. With many held that opens the gate again for each of them, and a
