--- a/brain/brain.go
+++ b/brain/brain.go
@@ -14,10 +14,10 @@
 
 // The design's values (ours to tune) and those of what it leaves open. Times are seconds.
 const (
-	firstMark   = 1.5 // threads a core below which a batch starts; then it follows the stretch of answers
-	leastMark   = 0.4
-	mostMark    = 4.0
-	markStep    = 0.02
+	mark        = 1.5 // threads a core below which a batch starts; then it follows the stretch of answers
+	leastPace   = 0.25
+	mostPace    = 2.7
+	paceStep    = 0.05
 	goodStretch = 2.0  // time over time alone of answers from engines that are full but not crowded
 	slowLimit   = 4    // slow batches that may wait before the most slowed leaves
 	firstLoad   = 0.9  // load until something is seen
@@ -82,7 +82,6 @@
 	furthers     []float64
 	lanes        map[uint64]*lane
 	load, loadAt float64
-	mark         float64
 	meanDemand   float64
 	gateAt       float64 // the gate stays shut until then
 	swept        float64
@@ -107,7 +106,7 @@
 		g.Threads = max(g.Threads, 1)
 	}
 	return &Router{set: s, now: now, started: now, random: seed&0xffffffff | 1<<33, lanes: map[uint64]*lane{},
-		load: firstLoad, mark: firstMark, loadAt: now, swept: math.Inf(-1), wakeAt: math.Inf(1)}
+		load: firstLoad, loadAt: now, swept: math.Inf(-1), wakeAt: math.Inf(1)}
 }
 
 // draw gives a number from 0 to 1 by multiply with carry.
@@ -233,7 +232,7 @@
 	if no >= len(b.dispatches) || b.dispatches[no].ended {
 		return
 	}
-	d, e, g := b.dispatches[no], b.dispatches[no].engine, b.Group
+	d, e := b.dispatches[no], b.dispatches[no].engine
 	d.ended = true
 	b.Out--
 	e.outs = slices.DeleteFunc(e.outs, func(o *dispatch) bool { return o == d })
@@ -255,7 +254,7 @@
 	r.gateAt = r.now
 	r.judge(e, end)
 	if end == Returned && work > 0 {
-		r.learn(b, g, took, sane(work, 1e5), sane(memory, 1e7))
+		r.learn(b, e, took, sane(work, 1e5), sane(memory, 1e7))
 	}
 	if last {
 		if !b.Over {
@@ -268,7 +267,8 @@
 }
 
 // learn keeps what an answer tells of its service group.
-func (r *Router) learn(b *Batch, g *ServiceGroup, took, work, memory float64) {
+func (r *Router) learn(b *Batch, e *Engine, took, work, memory float64) {
+	g := b.Group
 	if b.Cost > 0 && b.Cost < 1e5 {
 		g.told, g.needed, g.seen = g.told+b.Cost, g.needed+work, g.seen+1
 	}
@@ -279,7 +279,7 @@
 	// The mark is the threads a core at which answers take about so long: figures that leave out other
 	// routers' threads, spilling, busy disks and slow cores all show there. It only rises while batches wait.
 	if step := math.Log(goodStretch * work / (g.Threads * max(took, 1e-3))); step < 0 || len(r.held) > 0 {
-		r.mark = min(max(r.mark*(1+markStep*min(max(step, -1), 1)), leastMark), mostMark)
+		e.pace = min(max(e.pace*(1+paceStep*min(max(step, -1), 1)), leastPace), mostPace)
 	}
 	g.stretch.add(took / max(b.alone, 1e-3))
 	if g.count >= 128 {
@@ -548,7 +548,7 @@
 			b.redrawAt = r.now + redrawLeast
 			continue
 		}
-		if figure < r.mark || r.draw() < r.mark/figure {
+		if figure < mark || r.draw() < mark/figure {
 			return b, e
 		}
 		// The page lets the batch redraw. With many held that opens the gate again for each of them, and a
@@ -682,7 +682,7 @@
 	if e.report.Held >= 0 && e.reportAt > 0 && r.now < e.reportAt+reportStale {
 		own = max(own, e.report.Held*r.meanThreads()+since)
 	}
-	return own / e.cores
+	return own / (e.cores * e.pace)
 }
 
 // meanThreads is the mean of the service groups' threads, by how often they are out.
