--- a/brain/brain.go
+++ b/brain/brain.go
@@ -14,10 +14,14 @@
 
 // The design's values (ours to tune) and those of what it leaves open. Times are seconds.
 const (
-	mark        = 1.5 // threads a core below which a batch starts; then it follows the stretch of answers
-	leastPace   = 0.25
-	mostPace    = 2.7
+	firstMark   = 1.5 // threads a core below which a batch starts; then it follows the stretch of answers
+	leastMark   = 0.4
+	mostMark    = 4.0
+	markStep    = 0.02
+	leastPace   = 0.4
+	mostPace    = 1.6
 	paceStep    = 0.05
+	paceTime    = 5.0
 	goodStretch = 2.0  // time over time alone of answers from engines that are full but not crowded
 	slowLimit   = 4    // slow batches that may wait before the most slowed leaves
 	firstLoad   = 0.9  // load until something is seen
@@ -82,6 +86,7 @@
 	furthers     []float64
 	lanes        map[uint64]*lane
 	load, loadAt float64
+	mark         float64
 	meanDemand   float64
 	gateAt       float64 // the gate stays shut until then
 	swept        float64
@@ -106,7 +111,7 @@
 		g.Threads = max(g.Threads, 1)
 	}
 	return &Router{set: s, now: now, started: now, random: seed&0xffffffff | 1<<33, lanes: map[uint64]*lane{},
-		load: firstLoad, loadAt: now, swept: math.Inf(-1), wakeAt: math.Inf(1)}
+		load: firstLoad, mark: firstMark, loadAt: now, swept: math.Inf(-1), wakeAt: math.Inf(1)}
 }
 
 // draw gives a number from 0 to 1 by multiply with carry.
@@ -279,7 +284,9 @@
 	// The mark is the threads a core at which answers take about so long: figures that leave out other
 	// routers' threads, spilling, busy disks and slow cores all show there. It only rises while batches wait.
 	if step := math.Log(goodStretch * work / (g.Threads * max(took, 1e-3))); step < 0 || len(r.held) > 0 {
-		e.pace = min(max(e.pace*(1+paceStep*min(max(step, -1), 1)), leastPace), mostPace)
+		step = min(max(step, -1), 1)
+		r.mark = min(max(r.mark*(1+markStep*step), leastMark), mostMark)
+		e.pace = min(max(e.pace*(1+paceStep*step), leastPace), mostPace)
 	}
 	g.stretch.add(took / max(b.alone, 1e-3))
 	if g.count >= 128 {
@@ -474,6 +481,7 @@
 	busy, told := 0.0, 0.0
 	for _, e := range r.engines {
 		late := 0
+		e.pace += (1 - e.pace) * sweepEvery / paceTime // forgotten, as those that seem slow are seldom asked again
 		for _, d := range e.outs {
 			threads += d.threads
 			g := d.batch.Group
@@ -548,7 +556,7 @@
 			b.redrawAt = r.now + redrawLeast
 			continue
 		}
-		if figure < mark || r.draw() < mark/figure {
+		if figure < r.mark || r.draw() < r.mark/figure {
 			return b, e
 		}
 		// The page lets the batch redraw. With many held that opens the gate again for each of them, and a
