--- a/brain/brain.go
+++ b/brain/brain.go
@@ -33,7 +33,7 @@
 	reportLag   = 0.15 // a report is about this old when it comes
 	reportStale = 2.0  // an unchanged report is no longer believed
 	memorySpare = 1.25 // grant over the corrected need
-	memoryFull  = 0.8  // share of an engine's memory that may be spoken for
+	memoryFull  = 0.62 // share of an engine's memory that may be spoken for
 	coldShare   = 0.5  // part of the cold budget that is used; the rest is for estimates that lie
 	asideFirst  = 1.0  // an engine set aside is tried again after this, doubled each time
 	asideMost   = 8.0
