--- a/brain/brain.go
+++ b/brain/brain.go
@@ -689,6 +689,8 @@
 	}
 	if e.report.Held >= 0 && e.reportAt > 0 && r.now < e.reportAt+reportStale {
 		own = max(own, e.report.Held*r.meanThreads()+since)
+	} else {
+		own *= float64(r.set.Routers)
 	}
 	return own / (e.cores * e.pace)
 }
