--- a/brain/brain.go
+++ b/brain/brain.go
@@ -23,6 +23,7 @@
 	paceStep    = 0.05
 	paceTime    = 5.0
 	goodStretch = 2.0  // time over time alone of answers from engines that are full but not crowded
+	homeBonus   = 0.4  // threads a core that a likely warm data set is worth
 	slowLimit   = 4    // slow batches that may wait before the most slowed leaves
 	firstLoad   = 0.9  // load until something is seen
 	mostLoad    = 0.95 // clamp of the load
@@ -607,11 +608,20 @@
 	if n := len(b.dispatches); n > 0 {
 		last = b.dispatches[n-1].engine
 	}
+	home, next := 0.0, 0.0
+	for _, e := range r.engines {
+		if h := b.home(e); e.Phase == Ready && e.asideUntil == 0 {
+			home, next = max(home, h), max(next, min(home, h))
+		}
+	}
 	for _, e := range r.engines {
 		if !r.allowed(b, e) || !r.fit(b, e) {
 			continue
 		}
 		f := r.figure(e)
+		if b.home(e) >= next {
+			f -= homeBonus
+		}
 		if e == last {
 			f += 1
 		}
@@ -622,6 +632,13 @@
 	return best, figure
 }
 
+// home ranks engines for a data set alike at every router, so that what one has read stays warm for all.
+func (b *Batch) home(e *Engine) float64 {
+	h := (math.Float64bits(b.Tables)>>24+1)*0x9e3779b97f4a7c15 ^ uint64(e.ID)*0xc2b2ae3d27d4eb4f
+	h = (h ^ h>>29) * 0xbf58476d1ce4e5b9
+	return float64(h>>32) / (1 << 32)
+}
+
 // allowed: what the rules say, at every dispatch.
 func (r *Router) allowed(b *Batch, e *Engine) bool {
 	g := b.Group
