--- a/brain/brain.go
+++ b/brain/brain.go
@@ -34,7 +34,6 @@
 	reportLag   = 0.15 // a report is about this old when it comes
 	reportStale = 2.0  // an unchanged report is no longer believed
 	memorySpare = 1.25 // grant over the corrected need
-	memoryFull  = 0.62 // share of an engine's memory that may be spoken for
 	coldShare   = 0.5  // part of the cold budget that is used; the rest is for estimates that lie
 	asideFirst  = 1.0  // an engine set aside is tried again after this, doubled each time
 	asideMost   = 8.0
@@ -44,6 +43,10 @@
 	restartGain = 2.0 // a dispatch starts over when that looks so many times quicker
 )
 
+// memoryFull is the share of an engine's memory that may be spoken for, by what it does when short. Reports are
+// late and routers fill one gap together; a cut grant is then paid in spills.
+var memoryFull = [...]float64{Overcommit: 0.75, CutGrant: 0.6, LineUp: 0.75}
+
 // histogram has one bin for each doubling of a ratio in half steps, from 0.7 to 45; it halves as it fills.
 type histogram struct {
 	bins  [13]float64
@@ -692,7 +695,7 @@
 	if e.report.Memory >= 0 && r.now < e.reportAt+reportStale {
 		used = max(own, e.report.Memory*e.memory+since)
 	}
-	return used+b.memory*memorySpare <= memoryFull*e.memory
+	return used+b.memory*memorySpare <= memoryFull[r.set.Shortage]*e.memory
 }
 
 // figure is the engine's threads a core: its report's count and what was sent since; or own threads.
