--- a/brain/brain.go
+++ b/brain/brain.go
@@ -37,6 +37,7 @@
 	coldShare   = 0.5  // part of the cold budget that is used; the rest is for estimates that lie
 	asideFirst  = 1.0  // an engine set aside is tried again after this, doubled each time
 	asideMost   = 8.0
+	trust       = 1.75 // part of an estimate that is believed when a batch is given up for lack of time
 	sweepEvery  = 0.05
 	presentTime = 5.0 // how long a service group's dispatches count towards the mean threads
 	overdue     = 2.0 // times the usual longest time
@@ -545,7 +546,7 @@
 	if b.Group.LateShare <= 0 {
 		end = min(end, b.goalAt)
 	}
-	return r.now+b.alone+3*sweepEvery > end
+	return r.now+trust*b.alone+3*sweepEvery > end
 }
 
 // release is the design's ordinary path: which batch leaves next, where to, and whether the gate lets it.
