--- a/brain/brain.go
+++ b/brain/brain.go
@@ -31,11 +31,13 @@
 	redrawLeast = 0.05
 	redrawMost  = 0.2
 
-	reportLag   = 0.15 // a report is about this old when it comes
-	reportStale = 2.0  // an unchanged report is no longer believed
-	memorySpare = 1.25 // grant over the corrected need
-	coldShare   = 0.5  // part of the cold budget that is used; the rest is for estimates that lie
-	asideFirst  = 1.0  // an engine set aside is tried again after this, doubled each time
+	reportLag   = 0.15  // a report is about this old when it comes
+	reportStale = 2.0   // an unchanged report is no longer believed
+	memorySpare = 1.25  // grant over the corrected need
+	warmLoad    = 0.85  // the busy share of the cores that counts as capacity
+	probeWorth  = 0.005 // of the result that probes may cost
+	coldShare   = 0.5   // part of the cold budget that is used; the rest is for estimates that lie
+	asideFirst  = 1.0   // an engine set aside is tried again after this, doubled each time
 	asideMost   = 8.0
 	trust       = 1.75 // part of an estimate that is believed when a batch is given up for lack of time
 	sweepEvery  = 0.05
@@ -48,12 +50,6 @@
 // late and routers fill one gap together; a cut grant is then paid in spills.
 var memoryFull = [...]float64{Overcommit: 0.75, CutGrant: 0.6, LineUp: 0.75}
 
-// histogram has one bin for each doubling of a ratio in half steps, from 0.7 to 45; it halves as it fills.
-type histogram struct {
-	bins  [13]float64
-	total float64
-}
-
 func (h *histogram) add(ratio float64) {
 	bin := int(math.Ceil(2*math.Log2(max(ratio, 0.1)))) + 1
 	h.bins[min(max(bin, 0), len(h.bins)-1)]++
@@ -80,43 +76,28 @@
 	return usual
 }
 
-// Router decides for one router.
-type Router struct {
-	set          Settings
-	now, started float64
-	random       uint64
-	engines      []*Engine
-	held         []*Batch // by demand, the smallest first
-	takes        []float64
-	furthers     []float64
-	lanes        map[uint64]*lane
-	load, loadAt float64
-	mark         float64
-	meanDemand   float64
-	gateAt       float64 // the gate stays shut until then
-	swept        float64
-	dying        []*Batch
-	cancels      []*dispatch
-	next         []Decision
-	probeCredit  float64
-	wakeAt       float64
-	asked        bool
-}
-
-// New starts a router. The settings' figures are cleaned here, once.
+// New starts a router. What decisions use of the settings is derived here, once.
 func New(s Settings, seed uint64, now float64) *Router {
-	s.Routers = max(s.Routers, 1)
-	if s.MostDispatches <= 0 {
-		s.MostDispatches = 1
-	}
-	if s.LargestGrant <= 0 || s.LargestGrant > 1 {
-		s.LargestGrant = 1
+	r := &Router{groups: s.Groups, routers: max(float64(s.Routers), 1), coresByKind: s.CoresByKind,
+		memoryByKind: s.MemoryByKind, largestGrant: s.LargestGrant, full: memoryFull[s.Shortage],
+		grants: s.Grants, priorities: s.Priorities, mayCancel: s.MayCancel, mayProbe: s.MayProbe,
+		mustAsk: s.MustAsk, rationed: s.Rationed, most: max(s.MostDispatches, 1),
+		probeEvery: min(max(s.ProbePrice/probeWorth, 1), 16), coldFrom: s.ColdFrom, coldTime: s.ColdTime,
+		fallTime: s.FallTime, settle: s.SettleTime, tick: s.Tick, freeFurther: s.FreeFurther,
+		further: s.FurtherShare, furtherWindow: s.FurtherWindow, now: now, started: now,
+		random: seed&0xffffffff | 1<<33, lanes: map[uint64]*lane{}, load: firstLoad, mark: firstMark, loadAt: now,
+		swept: math.Inf(-1), wakeAt: math.Inf(1)}
+	r.coldWork = coldShare * s.FallMultiple * s.ColdFrom * warmLoad * s.FallTime / r.routers
+	if s.MayDefer {
+		r.comeBack = s.LongestDefer
+	}
+	if !(s.LargestGrant > 0 && s.LargestGrant <= 1) {
+		r.largestGrant = 1
 	}
 	for _, g := range s.Groups {
 		g.Threads = max(g.Threads, 1)
 	}
-	return &Router{set: s, now: now, started: now, random: seed&0xffffffff | 1<<33, lanes: map[uint64]*lane{},
-		load: firstLoad, mark: firstMark, loadAt: now, swept: math.Inf(-1), wakeAt: math.Inf(1)}
+	return r
 }
 
 // draw gives a number from 0 to 1 by multiply with carry.
@@ -144,14 +125,17 @@
 func (r *Router) Listed(list []*Engine, whole bool) {
 	for _, e := range list {
 		if e.cores == 0 {
-			e.cores, e.memory, e.pace = 8, 0, 1
-			if e.Kind < len(r.set.CoresByKind) {
-				e.cores = max(r.set.CoresByKind[e.Kind], 1)
+			e.cores, e.pace, e.started = 1, 1, e.StartedAt
+			if e.Kind < len(r.coresByKind) {
+				e.cores = max(r.coresByKind[e.Kind], 1)
 			}
-			if e.Kind < len(r.set.MemoryByKind) {
-				e.memory = r.set.MemoryByKind[e.Kind]
+			if e.Kind < len(r.memoryByKind) {
+				e.memory = r.memoryByKind[e.Kind]
 			}
 		}
+		if e.started != e.StartedAt { // what was learned of the process before is void
+			e.started, e.pace, e.asideUntil, e.backoff, e.good, e.bad, e.reportAt = e.StartedAt, 1, 0, 0, 0, 0, 0
+		}
 		if !slices.Contains(r.engines, e) {
 			r.engines = append(r.engines, e)
 		}
@@ -172,7 +156,7 @@
 // Take brings a batch, which is owed one final answer from now on.
 func (r *Router) Take(b *Batch) {
 	g := b.Group
-	b.taken, b.limitAt = r.now, r.now+sane(b.Left, 1e6)-r.set.Tick
+	b.taken, b.limitAt = r.now, r.now+sane(b.Left, 1e6)-r.tick
 	b.demand = sane(b.Cost, 1e5)
 	if b.demand > 0 {
 		b.demand *= (g.needed + 4*g.told/max(g.seen, 1) + 1e-6) / (g.told + 4*g.told/max(g.seen, 1) + 1e-6)
@@ -197,8 +181,10 @@
 		}
 		b.lane.line = append(b.lane.line, b)
 	}
-	r.takes = append(r.takes, r.now)
-	r.probeCredit++
+	if r.rationed {
+		r.takes = append(r.takes, r.now)
+	}
+	r.probeCredit = min(r.probeCredit+1, 8*r.probeEvery)
 	r.hold(b)
 	if b.Left < 4*sweepEvery { // a client's late try: no time to wait for the next sweep
 		r.swept = math.Inf(-1)
@@ -253,7 +239,7 @@
 	if l := b.lane; l != nil {
 		l.out--
 		if doubt {
-			l.restTo, l.restBy = r.now+r.set.SettleTime, b
+			l.restTo, l.restBy = r.now+r.settle, b
 		}
 	}
 	if end == Returned || end == Errored || doubt {
@@ -331,7 +317,7 @@
 		return
 	}
 	e.backoff = min(max(asideFirst, 2*e.backoff), asideMost)
-	e.asideUntil = r.now + e.backoff*(0.75+0.5*r.draw())
+	e.asideAt, e.asideUntil = r.now, r.now+e.backoff*(0.75+0.5*r.draw())
 	r.log("engine %d aside for %.1f s: %s, good %.0f bad %.0f out %d", e.ID, e.backoff, why, e.good, e.bad, len(e.outs))
 }
 
@@ -376,7 +362,7 @@
 		r.next = r.next[1:]
 		return d
 	}
-	if r.set.MustAsk && !r.asked {
+	if r.mustAsk && !r.asked {
 		r.asked = true
 		return Decision{Kind: Subscribe}
 	}
@@ -423,34 +409,23 @@
 func (r *Router) giveUp(b *Batch) Decision {
 	r.over(b)
 	g := b.Group
-	free := b.Out == 0 && b.bound == nil
-	if free || g.Effect == Repeatable || g.Effect == Referenced && g.Scope == WithinAll && r.now < b.firstSent()+g.Window {
-		wait := 0.0
-		if r.set.MayDefer {
-			wait = r.set.LongestDefer
-		}
-		return Decision{Kind: PushBack, Batch: b, Wait: wait}
+	if b.bound == nil || g.Effect == Repeatable ||
+		g.Effect == Referenced && g.Scope == WithinAll && r.now+r.comeBack < b.boundAt+g.Window {
+		return Decision{Kind: PushBack, Batch: b, Wait: r.comeBack}
 	}
 	return Decision{Kind: Fail, Batch: b}
 }
 
-func (b *Batch) firstSent() float64 {
-	if b.bound != nil {
-		return b.boundAt
-	}
-	return b.dispatches[0].sent
-}
-
 // again tells whether a batch may be dispatched once more.
 func (r *Router) again(b *Batch) bool {
 	if len(b.dispatches) == 0 {
 		return true
 	}
-	if len(b.dispatches) >= r.set.MostDispatches || b.Out > 0 {
+	if len(b.dispatches) >= r.most || b.Out > 0 {
 		return false
 	}
 	if b.bound != nil {
-		if b.Group.Effect == OnceOnly || b.Group.Effect == Referenced && r.now >= b.boundAt+b.Group.Window-r.set.Tick {
+		if b.Group.Effect == OnceOnly || b.Group.Effect == Referenced && r.now >= b.boundAt+b.Group.Window-r.tick {
 			return false
 		}
 	}
@@ -458,32 +433,28 @@
 }
 
 // rationed tells whether the budget of further dispatches is spent for now.
-func (r *Router) rationed() bool {
-	if !r.set.Rationed {
+func (r *Router) spent() bool {
+	if !r.rationed {
 		return false
 	}
 	since := func(list []float64) []float64 {
-		return list[sort.Search(len(list), func(i int) bool { return list[i] > r.now-r.set.FurtherWindow }):]
+		return list[sort.Search(len(list), func(i int) bool { return list[i] > r.now-r.furtherWindow }):]
 	}
 	r.takes, r.furthers = since(r.takes), since(r.furthers)
-	return float64(len(r.furthers)+1) > r.set.FreeFurther+r.set.FurtherShare*float64(len(r.takes))
+	return float64(len(r.furthers)+1) > r.freeFurther+r.further*float64(len(r.takes))
 }
 
 // sweep looks now and then at all that is held or out for what time alone has changed.
 func (r *Router) sweep() {
-	if !r.set.Rationed {
-		r.takes = r.takes[:0]
-	}
 	for _, b := range r.held {
 		if r.hopeless(b) {
 			r.dying = append(r.dying, b)
 		}
 	}
-	for _, g := range r.set.Groups {
+	for _, g := range r.groups {
 		g.present *= 1 - sweepEvery/presentTime
 	}
-	threads, cores := 0.0, 0.0
-	busy, told := 0.0, 0.0
+	threads, cores, busy, told, ready, aside := 0.0, 0.0, 0.0, 0.0, 0, 0
 	for _, e := range r.engines {
 		late := 0
 		e.pace += (1 - e.pace) * sweepEvery / paceTime // forgotten, as those that seem slow are seldom asked again
@@ -495,8 +466,8 @@
 			if age > overdue*usual+0.2 && e.signAt < d.sent {
 				late++
 			}
-			if r.set.MayCancel && !d.cancel && g.Effect == Repeatable && !d.batch.Over &&
-				len(d.batch.dispatches) < r.set.MostDispatches && r.startOver(d) {
+			if r.mayCancel && !d.cancel && g.Effect == Repeatable && !d.batch.Over &&
+				len(d.batch.dispatches) < r.most && r.startOver(d) {
 				d.cancel = true
 				r.cancels = append(r.cancels, d)
 			}
@@ -505,12 +476,20 @@
 			r.aside(e, "silent")
 		}
 		if e.Phase == Ready {
+			ready++
+			if e.asideUntil > 0 {
+				aside++
+			}
 			cores += e.cores
 			if e.report.Busy >= 0 && e.reportAt > 0 {
 				busy, told = busy+e.report.Busy, told+1
 			}
 		}
 	}
+	if shaken := 2*aside > ready; shaken != r.shaken {
+		r.shaken = shaken
+		r.log("%d of %d engines aside, shaken %t", aside, ready, shaken)
+	}
 	if cores > 0 {
 		seen := threads / cores
 		if told > 0 {
@@ -578,7 +557,7 @@
 	var first, worst *Batch
 	slow, most := 0, 0.0
 	for _, b := range r.held {
-		if b.redrawAt > r.now || b.Over || !r.turn(b) || len(b.dispatches) > 0 && (!r.again(b) || r.rationed()) {
+		if b.redrawAt > r.now || b.Over || !r.turn(b) || len(b.dispatches) > 0 && (!r.again(b) || r.spent()) {
 			continue
 		}
 		if first == nil {
@@ -659,67 +638,69 @@
 }
 
 func (r *Router) cold(e *Engine) bool {
-	return e.StartedAt > 0 && r.now < e.StartedAt+r.set.ColdTime+0.5
+	return e.StartedAt > 0 && r.now < e.StartedAt+r.coldTime+0.5
 }
 
 // coldRoom: our share of what may be sent to a cold engine in any window of the fall time. After our own start
 // nobody knows what we sent before, so the first window is taken as spent.
 func (r *Router) coldRoom(e *Engine, work float64) bool {
-	if r.now < r.started+r.set.FallTime {
+	if r.now < r.started+r.fallTime {
 		return false
 	}
-	budget := coldShare * r.set.FallMultiple * r.set.ColdFrom * 0.85 * e.cores * r.set.FallTime / float64(r.set.Routers)
+	budget := r.coldWork * e.cores
 	for _, s := range e.sends {
-		if s.at > r.now-r.set.FallTime-0.1 {
+		if s.at > r.now-r.fallTime-0.1 {
 			budget -= s.work
 		}
 	}
 	return work <= budget
 }
 
-// fit: health and memory. An engine set aside is tried with one batch at a time once its time has come.
+// fit: health and memory. An engine set aside is tried with one batch at a time once its time has come, or at
+// once while most are set aside: nearly all failing is more likely the network's doing, or ours.
 func (r *Router) fit(b *Batch, e *Engine) bool {
-	if e.asideUntil > 0 && (r.now < e.asideUntil || len(e.outs) > 0 && e.outs[len(e.outs)-1].sent > e.asideUntil) {
+	n := len(e.outs)
+	if e.asideUntil > 0 && (r.now < e.asideUntil && !r.shaken || n > 0 && e.outs[n-1].sent >= e.asideAt) {
 		return false
 	}
-	if e.memory <= 0 || b.memory <= 0 || len(e.outs) == 0 {
+	if e.memory <= 0 || b.memory <= 0 || n == 0 {
 		return true
 	}
-	own, since := 0.0, 0.0
-	for _, d := range e.outs {
-		own += d.memory
-		if d.sent > e.reportAt-reportLag {
-			since += d.memory
-		}
-	}
-	used := own * float64(r.set.Routers)
-	if e.report.Memory >= 0 && r.now < e.reportAt+reportStale {
+	own, since := e.sum(func(d *dispatch) float64 { return d.memory })
+	used := own * r.routers
+	if e.report.Memory >= 0 && e.reportAt > 0 && r.now < e.reportAt+reportStale {
 		used = max(own, e.report.Memory*e.memory+since)
 	}
-	return used+b.memory*memorySpare <= memoryFull[r.set.Shortage]*e.memory
+	return used+b.memory*memorySpare <= r.full*e.memory
 }
 
-// figure is the engine's threads a core: its report's count and what was sent since; or own threads.
-func (r *Router) figure(e *Engine) float64 {
-	own, since := 0.0, 0.0
+// sum adds up own dispatches out there, and those that its report can't hold yet.
+func (e *Engine) sum(of func(*dispatch) float64) (own, since float64) {
 	for _, d := range e.outs {
-		own += d.threads
+		own += of(d)
 		if d.sent > e.reportAt-reportLag {
-			since += d.threads
+			since += of(d)
 		}
 	}
+	return own, since
+}
+
+// figure is the engine's threads a core: its report's count and what was sent since. Where that is lacking or
+// stale, own threads stand in, times the routers: a gateway that counts only its own fills what others have
+// filled. That is wrong where traffic is uneven; the mark then follows the answers.
+func (r *Router) figure(e *Engine) float64 {
+	own, since := e.sum(func(d *dispatch) float64 { return d.threads })
+	threads := own * r.routers
 	if e.report.Held >= 0 && e.reportAt > 0 && r.now < e.reportAt+reportStale {
-		own = max(own, e.report.Held*r.meanThreads()+since)
-	} else {
-		own *= float64(r.set.Routers)
+		threads = max(own, e.report.Held*r.meanThreads()+since)
 	}
-	return own / (e.cores * e.pace)
+	return threads / (e.cores * e.pace)
 }
 
 // meanThreads is the mean of the service groups' threads, by how often they are out.
 func (r *Router) meanThreads() float64 {
 	sum, n := 0.0, 0.0
-	for _, g := range r.set.Groups {
+	for _, g := range r.groups {
 		sum, n = sum+(g.present+1)*g.Threads, n+g.present+1
 	}
 	return sum / n
@@ -728,11 +709,11 @@
 // send books a dispatch; its terms go first.
 func (r *Router) send(b *Batch, e *Engine) Decision {
 	r.unhold(b)
-	if len(b.dispatches) > 0 {
+	if len(b.dispatches) > 0 && r.rationed {
 		r.furthers = append(r.furthers, r.now)
 	}
 	d := &dispatch{batch: b, engine: e, number: len(b.dispatches), sent: r.now, threads: b.Group.Threads}
-	d.memory = min(b.memory*memorySpare, r.set.LargestGrant*e.memory)
+	d.memory = min(b.memory*memorySpare, r.largestGrant*e.memory)
 	b.dispatches = append(b.dispatches, d)
 	e.outs = append(e.outs, d)
 	b.Out++
@@ -740,11 +721,11 @@
 		b.lane.out++
 	}
 	if r.cold(e) {
-		e.sends = slices.DeleteFunc(e.sends, func(s spend) bool { return s.at < r.now-r.set.FallTime-0.1 })
+		e.sends = slices.DeleteFunc(e.sends, func(s spend) bool { return s.at < r.now-r.fallTime-0.1 })
 		e.sends = append(e.sends, spend{r.now, b.demand})
 	}
 	wait := b.limitAt - r.now
-	if g := b.Group; g.Effect == Repeatable && len(b.dispatches) < r.set.MostDispatches {
+	if g := b.Group; g.Effect == Repeatable && len(b.dispatches) < r.most {
 		own := overdue*b.alone*g.stretch.quantile(0.98, 16) + 0.5
 		if e.asideUntil > 0 {
 			own = b.alone*g.stretch.quantile(0.9, 4) + 0.5
@@ -754,14 +735,14 @@
 		}
 	}
 	out := Decision{Kind: Dispatch, Batch: b, Engine: e, Number: d.number, Wait: wait}
-	if !r.set.Grants && !r.set.Priorities {
+	if !r.grants && !r.priorities {
 		return out
 	}
 	terms := Decision{Kind: Terms, Batch: b, Priority: 1}
-	if r.set.Grants {
+	if r.grants {
 		terms.Memory = d.memory
 	}
-	if r.set.Priorities {
+	if r.priorities {
 		terms.Priority = r.priority(b)
 	}
 	r.next = append(r.next, out)
@@ -783,7 +764,7 @@
 
 // probe gives the engine whose load is to be asked for, within what a probe is worth.
 func (r *Router) probe() *Engine {
-	if !r.set.MayProbe || r.probeCredit < 4 {
+	if !r.mayProbe || r.probeCredit < r.probeEvery {
 		return nil
 	}
 	var oldest *Engine
@@ -793,7 +774,7 @@
 		}
 	}
 	if oldest != nil {
-		r.probeCredit = min(r.probeCredit-4, 8)
+		r.probeCredit -= r.probeEvery
 	}
 	return oldest
 }
--- a/brain/types.go
+++ b/brain/types.go
@@ -205,6 +205,7 @@
 	probing             bool
 	signAt              float64 // last sign of life
 	asideUntil, backoff float64 // set aside; 0: not
+	asideAt, started    float64
 	good, bad           float64 // endings, halved from time to time
 	sends               []spend
 	pace                float64
@@ -240,3 +241,50 @@
 	restTo float64
 	restBy *Batch
 }
+
+// histogram has one bin for each half doubling of a ratio, from 0.7 to 45; it halves as it fills.
+type histogram struct {
+	bins  [13]float64
+	total float64
+}
+
+// Router decides for one router. Its first figures are derived from the settings, once.
+type Router struct {
+	groups               []*ServiceGroup
+	routers              float64
+	coresByKind          []float64
+	memoryByKind         []float64
+	largestGrant         float64
+	full                 float64 // share of an engine's memory that may be spoken for
+	grants, priorities   bool
+	mayCancel, mayProbe  bool
+	mustAsk, rationed    bool
+	comeBack             float64
+	most                 int     // dispatches of a batch
+	probeEvery           float64 // own batches that pay for a probe
+	coldFrom, coldTime   float64
+	coldWork, fallTime   float64 // own work a core that a cold engine may get in each fall time
+	settle, tick         float64
+	freeFurther, further float64
+	furtherWindow        float64
+
+	now, started float64
+	random       uint64
+	engines      []*Engine
+	held         []*Batch // by demand, the smallest first
+	takes        []float64
+	furthers     []float64
+	lanes        map[uint64]*lane
+	load, loadAt float64
+	mark         float64
+	meanDemand   float64
+	gateAt       float64 // the gate stays shut until then
+	swept        float64
+	shaken       bool // most engines are set aside
+	dying        []*Batch
+	cancels      []*dispatch
+	next         []Decision
+	probeCredit  float64
+	wakeAt       float64
+	asked        bool
+}
