--- a/brain/brain.go
+++ b/brain/brain.go
@@ -41,6 +41,7 @@
 	asideMost   = 8.0
 	trust       = 1.75 // part of an estimate that is believed when a batch is given up for lack of time
 	sweepEvery  = 0.05
+	mostTries   = 16  // batches without a fitting engine that one pull looks at
 	presentTime = 5.0 // how long a service group's dispatches count towards the mean threads
 	overdue     = 2.0 // times the usual longest time
 	restartGain = 2.0 // a dispatch starts over when that looks so many times quicker
@@ -85,8 +86,8 @@
 		probeEvery: min(max(s.ProbePrice/probeWorth, 1), 16), coldFrom: s.ColdFrom, coldTime: s.ColdTime,
 		fallTime: s.FallTime, settle: s.SettleTime, tick: s.Tick, freeFurther: s.FreeFurther,
 		further: s.FurtherShare, furtherWindow: s.FurtherWindow, now: now, started: now,
-		random: seed&0xffffffff | 1<<33, lanes: map[uint64]*lane{}, load: firstLoad, mark: firstMark, loadAt: now,
-		swept: math.Inf(-1), wakeAt: math.Inf(1)}
+		random: seed&0xffffffff | 1<<33, lanes: map[uint64]*lane{}, load: firstLoad, mark: firstMark,
+		swept: now, sweepAt: now, wakeAt: math.Inf(1)}
 	r.coldWork = coldShare * s.FallMultiple * s.ColdFrom * warmLoad * s.FallTime / r.routers
 	if s.MayDefer {
 		r.comeBack = s.LongestDefer
@@ -187,7 +188,7 @@
 	r.probeCredit = min(r.probeCredit+1, 8*r.probeEvery)
 	r.hold(b)
 	if b.Left < 4*sweepEvery { // a client's late try: no time to wait for the next sweep
-		r.swept = math.Inf(-1)
+		r.sweepAt = r.now
 	}
 }
 
@@ -204,6 +205,9 @@
 
 // over ends a batch: nothing is sent for it any more.
 func (r *Router) over(b *Batch) {
+	if b.Over {
+		return
+	}
 	b.Over = true
 	r.unhold(b)
 	if l := b.lane; l != nil {
@@ -217,11 +221,7 @@
 }
 
 // Left says that the client has gone.
-func (r *Router) Left(b *Batch) {
-	if !b.Over {
-		r.over(b)
-	}
-}
+func (r *Router) Left(b *Batch) { r.over(b) }
 
 // Outcome ends a dispatch; last says that the batch is over with it. Work and memory are what it needed.
 func (r *Router) Outcome(b *Batch, no int, end Ending, last bool, took, work, memory float64, rep *Report) {
@@ -242,10 +242,8 @@
 			l.restTo, l.restBy = r.now+r.settle, b
 		}
 	}
-	if end == Returned || end == Errored || doubt {
-		if b.bound == nil {
-			b.bound, b.boundAt = e, d.sent
-		}
+	if b.bound == nil && (end == Returned || end == Errored || doubt) {
+		b.bound, b.boundAt = e, d.sent
 	}
 	r.gateAt = r.now
 	r.judge(e, end)
@@ -253,12 +251,10 @@
 		r.learn(b, e, took, sane(work, 1e5), sane(memory, 1e7))
 	}
 	if last {
-		if !b.Over {
-			r.over(b)
-		}
+		r.over(b)
 	} else if !b.Over {
 		r.hold(b)
-		r.swept = math.Inf(-1)
+		r.sweepAt = r.now
 	}
 }
 
@@ -353,8 +349,7 @@
 
 // Next gives the next decision.
 func (r *Router) Next() Decision {
-	if r.now >= r.swept+sweepEvery {
-		r.swept = r.now
+	if r.now >= r.sweepAt {
 		r.sweep()
 	}
 	if len(r.next) > 0 {
@@ -362,24 +357,6 @@
 		r.next = r.next[1:]
 		return d
 	}
-	if r.mustAsk && !r.asked {
-		r.asked = true
-		return Decision{Kind: Subscribe}
-	}
-	for len(r.cancels) > 0 {
-		d := r.cancels[0]
-		r.cancels = r.cancels[1:]
-		if !d.ended {
-			return Decision{Kind: Cancel, Batch: d.batch, Number: d.number}
-		}
-	}
-	for len(r.dying) > 0 {
-		b := r.dying[0]
-		r.dying = r.dying[1:]
-		if !b.Over {
-			return r.giveUp(b)
-		}
-	}
 	if b, e := r.release(); b != nil {
 		return r.send(b, e)
 	}
@@ -418,18 +395,11 @@
 
 // again tells whether a batch may be dispatched once more.
 func (r *Router) again(b *Batch) bool {
-	if len(b.dispatches) == 0 {
-		return true
-	}
 	if len(b.dispatches) >= r.most || b.Out > 0 {
 		return false
 	}
-	if b.bound != nil {
-		if b.Group.Effect == OnceOnly || b.Group.Effect == Referenced && r.now >= b.boundAt+b.Group.Window-r.tick {
-			return false
-		}
-	}
-	return true
+	g := b.Group
+	return b.bound == nil || g.Effect == Repeatable || g.Effect == Referenced && r.now < b.boundAt+g.Window-r.tick
 }
 
 // rationed tells whether the budget of further dispatches is spent for now.
@@ -446,22 +416,28 @@
 
 // sweep looks now and then at all that is held or out for what time alone has changed.
 func (r *Router) sweep() {
-	for _, b := range r.held {
+	passed := min(r.now-r.swept, 1)
+	r.swept, r.sweepAt = r.now, r.now+sweepEvery
+	if r.mustAsk && !r.asked {
+		r.asked = true
+		r.next = append(r.next, Decision{Kind: Subscribe})
+	}
+	for _, b := range slices.Clone(r.held) {
 		if r.hopeless(b) {
-			r.dying = append(r.dying, b)
+			r.next = append(r.next, r.giveUp(b))
 		}
 	}
 	for _, g := range r.groups {
-		g.present *= 1 - sweepEvery/presentTime
+		g.present *= 1 - passed/presentTime
 	}
 	threads, cores, busy, told, ready, aside := 0.0, 0.0, 0.0, 0.0, 0, 0
 	for _, e := range r.engines {
 		late := 0
-		e.pace += (1 - e.pace) * sweepEvery / paceTime // forgotten, as those that seem slow are seldom asked again
+		e.pace += (1 - e.pace) * passed / paceTime // forgotten, as those that seem slow are seldom asked again
 		for _, d := range e.outs {
 			threads += d.threads
 			g := d.batch.Group
-			g.present++
+			g.present += passed / sweepEvery
 			age, usual := r.now-d.sent, d.batch.alone*g.stretch.quantile(0.95, 8)
 			if age > overdue*usual+0.2 && e.signAt < d.sent {
 				late++
@@ -469,7 +445,7 @@
 			if r.mayCancel && !d.cancel && g.Effect == Repeatable && !d.batch.Over &&
 				len(d.batch.dispatches) < r.most && r.startOver(d) {
 				d.cancel = true
-				r.cancels = append(r.cancels, d)
+				r.next = append(r.next, Decision{Kind: Cancel, Batch: d.batch, Number: d.number})
 			}
 		}
 		if late >= 3 || late > 0 && late == len(e.outs) && r.now-e.signAt > 1 {
@@ -495,8 +471,7 @@
 		if told > 0 {
 			seen = busy / told
 		}
-		r.load += (min(max(seen, 0), mostLoad) - r.load) * min(1, (r.now-r.loadAt)/loadTime)
-		r.loadAt = r.now
+		r.load += (min(max(seen, 0), mostLoad) - r.load) * passed / loadTime
 	}
 }
 
@@ -530,10 +505,10 @@
 
 // release is the design's ordinary path: which batch leaves next, where to, and whether the gate lets it.
 func (r *Router) release() (*Batch, *Engine) {
-	for r.now >= r.gateAt {
+	for tries := 0; r.now >= r.gateAt && tries < mostTries; tries++ {
 		b := r.pick()
 		if b == nil {
-			return nil, nil
+			break
 		}
 		e, figure := r.place(b)
 		if e == nil {
