--- a/brain/brain.go
+++ b/brain/brain.go
@@ -187,9 +187,7 @@
 	}
 	r.probeCredit = min(r.probeCredit+1, 8*r.probeEvery)
 	r.hold(b)
-	if b.Left < 4*sweepEvery { // a client's late try: no time to wait for the next sweep
-		r.sweepAt = r.now
-	}
+	r.sweepAt = min(r.sweepAt, b.limitAt-4*sweepEvery) // a client's late try has no time to wait for the next one
 }
 
 func (r *Router) hold(b *Batch) {
@@ -232,8 +230,8 @@
 	d.ended = true
 	b.Out--
 	e.outs = slices.DeleteFunc(e.outs, func(o *dispatch) bool { return o == d })
-	if rep != nil {
-		r.reported(e, rep)
+	if rep != nil && *rep != e.report { // the same figures again are the same report
+		e.report, e.reportAt = *rep, r.now
 	}
 	doubt := end == TimedOut || end == Broken || end == Withdrawn
 	if l := b.lane; l != nil {
@@ -317,18 +315,11 @@
 	r.log("engine %d aside for %.1f s: %s, good %.0f bad %.0f out %d", e.ID, e.backoff, why, e.good, e.bad, len(e.outs))
 }
 
-func (r *Router) reported(e *Engine, rep *Report) {
-	if *rep != e.report {
-		e.report, e.reportAt = *rep, r.now
-	}
-}
-
 // Probed ends a probe.
 func (r *Router) Probed(e *Engine, ok bool, rep *Report) {
 	e.probing = false
 	if ok && rep != nil {
-		e.reportAt = r.now
-		r.reported(e, rep)
+		e.report, e.reportAt = *rep, r.now
 	}
 }
 
@@ -404,9 +395,6 @@
 
 // rationed tells whether the budget of further dispatches is spent for now.
 func (r *Router) spent() bool {
-	if !r.rationed {
-		return false
-	}
 	since := func(list []float64) []float64 {
 		return list[sort.Search(len(list), func(i int) bool { return list[i] > r.now-r.furtherWindow }):]
 	}
@@ -427,9 +415,12 @@
 			r.next = append(r.next, r.giveUp(b))
 		}
 	}
+	sum, n := 0.0, 0.0
 	for _, g := range r.groups {
 		g.present *= 1 - passed/presentTime
+		sum, n = sum+(g.present+1)*g.Threads, n+g.present+1
 	}
+	r.meanThreads = sum / n
 	threads, cores, busy, told, ready, aside := 0.0, 0.0, 0.0, 0.0, 0, 0
 	for _, e := range r.engines {
 		late := 0
@@ -532,7 +523,7 @@
 	var first, worst *Batch
 	slow, most := 0, 0.0
 	for _, b := range r.held {
-		if b.redrawAt > r.now || b.Over || !r.turn(b) || len(b.dispatches) > 0 && (!r.again(b) || r.spent()) {
+		if b.redrawAt > r.now || b.Over || !r.turn(b) || len(b.dispatches) > 0 && (!r.again(b) || r.rationed && r.spent()) {
 			continue
 		}
 		if first == nil {
@@ -667,20 +658,11 @@
 	own, since := e.sum(func(d *dispatch) float64 { return d.threads })
 	threads := own * r.routers
 	if e.report.Held >= 0 && e.reportAt > 0 && r.now < e.reportAt+reportStale {
-		threads = max(own, e.report.Held*r.meanThreads()+since)
+		threads = max(own, e.report.Held*r.meanThreads+since)
 	}
 	return threads / (e.cores * e.pace)
 }
 
-// meanThreads is the mean of the service groups' threads, by how often they are out.
-func (r *Router) meanThreads() float64 {
-	sum, n := 0.0, 0.0
-	for _, g := range r.groups {
-		sum, n = sum+(g.present+1)*g.Threads, n+g.present+1
-	}
-	return sum / n
-}
-
 // send books a dispatch; its terms go first.
 func (r *Router) send(b *Batch, e *Engine) Decision {
 	r.unhold(b)
@@ -718,25 +700,13 @@
 		terms.Memory = d.memory
 	}
 	if r.priorities {
-		terms.Priority = r.priority(b)
+		ratio := 2 * b.demand / max(r.meanDemand, 1e-6) // the smaller against the mean, the higher: 3 under a half
+		terms.Priority = min(max(3-int(math.Ceil(math.Log2(max(ratio, 0.25))/2)), 0), 3)
 	}
 	r.next = append(r.next, out)
 	return terms
 }
 
-// priority: the smaller the demand against the mean, the higher.
-func (r *Router) priority(b *Batch) int {
-	switch ratio := b.demand / max(r.meanDemand, 1e-6); {
-	case ratio < 0.5:
-		return 3
-	case ratio < 2:
-		return 2
-	case ratio < 8:
-		return 1
-	}
-	return 0
-}
-
 // probe gives the engine whose load is to be asked for, within what a probe is worth.
 func (r *Router) probe() *Engine {
 	if !r.mayProbe || r.probeCredit < r.probeEvery {
--- a/brain/types.go
+++ b/brain/types.go
@@ -268,21 +268,21 @@
 	freeFurther, further float64
 	furtherWindow        float64
 
-	now, started   float64
-	random         uint64
-	engines        []*Engine
-	held           []*Batch // by demand, the smallest first
-	takes          []float64
-	furthers       []float64
-	lanes          map[uint64]*lane
-	load           float64
-	mark           float64
-	meanDemand     float64
-	gateAt         float64 // the gate stays shut until then
-	swept, sweepAt float64
-	shaken         bool // most engines are set aside
-	next           []Decision
-	probeCredit    float64
-	wakeAt         float64
-	asked          bool
+	now, started      float64
+	random            uint64
+	engines           []*Engine
+	held              []*Batch // by demand, the smallest first
+	takes             []float64
+	furthers          []float64
+	lanes             map[uint64]*lane
+	load, meanThreads float64
+	mark              float64
+	meanDemand        float64
+	gateAt            float64 // the gate stays shut until then
+	swept, sweepAt    float64
+	shaken            bool // most engines are set aside
+	next              []Decision
+	probeCredit       float64
+	wakeAt            float64
+	asked             bool
 }
