--- /dev/null
+++ b/brain/brain_test.go
@@ -0,0 +1,279 @@
+package brain
+
+import (
+	"math"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+func TestSmallestDemandLeavesFirst(t *testing.T) {
+	h, list := newHost(t, settings(lookups()), 1)
+	h.crowd(list)
+	big := h.take(func(b *Batch) { b.Cost = 0.4 })
+	small := h.take(func(b *Batch) { b.Cost = 0.2 })
+	h.report(list[0], 0)
+	h.pass(0.3)
+	sent := h.of(Dispatch, nil)
+	require.Len(t, sent, 2)
+	assert.Same(t, small, sent[0].Batch)
+	assert.Same(t, big, sent[1].Batch)
+}
+
+func TestBadlySlowedJumpsAhead(t *testing.T) {
+	h, list := newHost(t, settings(&ServiceGroup{Effect: Repeatable, Goal: 50, Limit: 60, Threads: 1}), 1)
+	h.load = 0 // threshold 1: past twice it after as long as it takes alone
+	h.crowd(list)
+	old := h.take(func(b *Batch) { b.Cost = 0.2 })
+	h.now += 0.3
+	h.Clock(h.now)
+	fresh := h.take(func(b *Batch) { b.Cost = 0.1 })
+	assert.Same(t, old, h.pick())
+	assert.Equal(t, []*Batch{fresh, old}, h.held)
+}
+
+func TestMostSlowedLeavesPastTheLimit(t *testing.T) {
+	h, list := newHost(t, settings(&ServiceGroup{Effect: Repeatable, Goal: 50, Limit: 60, Threads: 1}), 1)
+	h.crowd(list)
+	for i := range slowLimit {
+		h.take(func(b *Batch) { b.Cost = 0.1 + float64(i)/1000 })
+	}
+	h.now += 0.7
+	h.Clock(h.now)
+	h.load = 0.8 // threshold 5
+	assert.Equal(t, 0.1, h.pick().Cost, "not over the limit: smallest demand")
+	worst := h.take(func(b *Batch) { b.Cost = 0.12 })
+	worst.taken -= 1
+	h.load = 0.8
+	assert.Same(t, worst, h.pick())
+}
+
+func TestGateHoldsBackTheGatewayUntilTheRedraw(t *testing.T) {
+	h, list := newHost(t, settings(lookups()), 1)
+	h.crowd(list)
+	for range 20 {
+		h.take(nil)
+	}
+	assert.Empty(t, h.of(Dispatch, nil))
+	assert.InDelta(t, 100+(redrawLeast+redrawMost)/2, h.gateAt, (redrawMost-redrawLeast)/2+1e-9)
+}
+
+func TestOwnThreadsTimesRoutersStandInForTheHeldCount(t *testing.T) {
+	s := settings(lookups())
+	s.Routers = 4
+	h, list := newHost(t, s, 1)
+	for range 4 {
+		h.take(nil)
+	}
+	assert.InDelta(t, 4*4.0/8, h.figure(list[0]), 1e-9)
+	h.report(list[0], 6)
+	assert.InDelta(t, 10.0/8, h.figure(list[0]), 1e-9, "a report's count and the threads sent since")
+	h.now += reportStale + 1
+	h.Clock(h.now)
+	assert.InDelta(t, 2.0, h.figure(list[0]), 1e-9, "frozen reports are not believed")
+}
+
+func TestMarkFollowsTheStretchOfAnswers(t *testing.T) {
+	h, _ := newHost(t, settings(lookups()), 2)
+	for range 60 {
+		b := h.take(nil)
+		b.dispatches[0].sent -= 2 // ten times as long as it should take on a full engine
+		h.end(b, Returned)
+	}
+	assert.Less(t, h.mark, firstMark/2)
+}
+
+func TestEveryBatchIsAnsweredOnceInItsOwnTime(t *testing.T) {
+	h, _ := newHost(t, settings(lookups()), 0) // no engine at all
+	b := h.take(func(b *Batch) { b.Left = 0.03 })
+	h.pass(0.03)
+	require.Len(t, h.of(PushBack, b), 1, "a late try of its client, within its own time left")
+	c := h.take(nil)
+	h.pass(3.9)
+	require.Len(t, h.of(PushBack, c), 1)
+	assert.InDelta(t, 0.5, h.of(PushBack, c)[0].Wait, 1e-9)
+	h.pass(2)
+	assert.Len(t, h.of(PushBack, nil), 2)
+	assert.Empty(t, h.of(Fail, nil))
+}
+
+func TestOnceOnlyThatMayHaveRunIsNeitherSentNorPushedBack(t *testing.T) {
+	h, _ := newHost(t, settings(&ServiceGroup{Effect: OnceOnly, Goal: 1, Limit: 4, Threads: 1}), 3)
+	b := h.take(nil)
+	h.end(b, TurnedAway)
+	require.Len(t, h.of(Dispatch, b), 2, "proved not to have run")
+	h.end(b, TimedOut)
+	assert.Len(t, h.of(Dispatch, b), 2)
+	assert.Empty(t, h.of(PushBack, b))
+	assert.Len(t, h.of(Fail, b), 1)
+}
+
+func TestReferencedStaysInItsGroupAndWindow(t *testing.T) {
+	g := &ServiceGroup{Effect: Referenced, Scope: WithinCell, Window: 2, Goal: 9, Limit: 9, Threads: 1}
+	h, list := newHost(t, settings(g), 4)
+	list[3].Cell = 0
+	b := h.take(nil)
+	for _, e := range list {
+		assert.True(t, h.allowed(b, e))
+	}
+	b.dispatches[0].engine = list[0]
+	h.end(b, Broken)
+	require.Len(t, h.of(Dispatch, b), 2)
+	assert.Equal(t, 0, h.of(Dispatch, b)[1].Engine.Cell)
+	h.pass(2)
+	h.end(b, TurnedAway)
+	assert.Len(t, h.of(Dispatch, b), 2, "the window is over")
+	assert.Len(t, h.of(Fail, b), 1)
+}
+
+func TestNothingGoesToADrainingOrGoneEngine(t *testing.T) {
+	h, list := newHost(t, settings(lookups()), 2)
+	list[0].Phase = Draining
+	h.Listed(list[:1], false)
+	for range 5 {
+		assert.Same(t, list[1], h.of(Dispatch, h.take(nil))[0].Engine)
+	}
+	h.Listed(nil, true)
+	assert.Empty(t, h.of(Dispatch, h.take(nil)))
+}
+
+func TestColdEngineGetsOwnShareOfItsBudget(t *testing.T) {
+	s := settings(lookups())
+	s.Routers = 2
+	h, list := newHost(t, s, 1)
+	list[0].StartedAt = 99.9
+	h.Listed(list, true)
+	h.take(nil)
+	assert.Empty(t, h.of(Dispatch, nil), "after our own start the first window counts as spent")
+	h.pass(1)
+	for range 50 {
+		if b := h.take(nil); b.Out > 0 {
+			h.end(b, TurnedAway) // rejected work counts
+		}
+	}
+	work := 0.0
+	for _, d := range h.of(Dispatch, nil) {
+		work += d.Batch.demand
+	}
+	assert.LessOrEqual(t, work, 2*0.4*0.85*8*1/2.0)
+	assert.Greater(t, work, 0.5)
+}
+
+func TestOrderedKeyWaitsForOutcomesAndRests(t *testing.T) {
+	g := lookups()
+	g.InOrder = true
+	h, _ := newHost(t, settings(g), 3)
+	key := func(b *Batch) { b.Key = 5 }
+	first, second := h.take(key), h.take(key)
+	other := h.take(func(b *Batch) { b.Key = 6 })
+	require.Len(t, h.of(Dispatch, other), 1)
+	h.Left(first)
+	h.pull()
+	assert.Empty(t, h.of(Dispatch, second), "the earlier one is over, but its dispatch is out")
+	h.end(first, TimedOut)
+	h.pass(0.4)
+	assert.Empty(t, h.of(Dispatch, second), "the key rests")
+	h.pass(0.3)
+	assert.Len(t, h.of(Dispatch, second), 1)
+}
+
+func TestPlacementHoldsWhenAllItsEnginesAreGone(t *testing.T) {
+	g := lookups()
+	g.Zones = []int{1}
+	h, list := newHost(t, settings(g), 3)
+	assert.Same(t, list[1], h.of(Dispatch, h.take(nil))[0].Engine)
+	list[1].Phase = Gone
+	h.Listed(list[1:2], false)
+	b := h.take(nil)
+	h.pass(2)
+	assert.Empty(t, h.of(Dispatch, b))
+	assert.Len(t, h.of(PushBack, b), 1)
+}
+
+func TestFurtherDispatchesKeepTheirBudget(t *testing.T) {
+	s := settings(lookups())
+	s.Rationed, s.FreeFurther, s.FurtherShare, s.FurtherWindow = true, 1, 0.1, 10
+	h, _ := newHost(t, s, 3)
+	for range 20 {
+		h.end(h.take(nil), TurnedAway)
+	}
+	assert.Equal(t, 1+2, len(h.of(Dispatch, nil))-20)
+}
+
+func TestFailingEngineIsSetAsideAndTriedAgain(t *testing.T) {
+	h, list := newHost(t, settings(lookups()), 2)
+	for range 5 {
+		b := h.take(nil)
+		b.dispatches[0].engine = list[0]
+		h.end(b, Unconnected)
+	}
+	require.Positive(t, list[0].asideUntil)
+	assert.Same(t, list[1], h.of(Dispatch, h.take(nil))[0].Engine)
+	assert.NotEmpty(t, h.of(Log, nil))
+	h.now = list[0].asideUntil + 0.1
+	h.Clock(h.now)
+	assert.True(t, h.fit(h.take(func(b *Batch) { b.Cost = 5 }), list[0]) || len(list[0].outs) == 1, "one batch as a trial")
+}
+
+func TestSilentEngineIsSetAside(t *testing.T) {
+	h, list := newHost(t, settings(lookups()), 1)
+	for range 4 {
+		h.take(nil)
+	}
+	h.pass(2.5)
+	assert.Positive(t, list[0].asideUntil)
+}
+
+func TestMostAsideMeansTheyAreTriedAtOnce(t *testing.T) {
+	h, list := newHost(t, settings(lookups()), 2)
+	for _, e := range list {
+		e.asideAt, e.asideUntil = h.now-1, h.now+60
+	}
+	b := h.take(nil)
+	h.pass(0.3)
+	assert.Len(t, h.of(Dispatch, b), 1)
+}
+
+func TestBadPlanStartsOver(t *testing.T) {
+	s := settings(&ServiceGroup{Effect: Repeatable, Goal: 5, Limit: 30, Threads: 1})
+	s.MayCancel = true
+	h, _ := newHost(t, s, 2)
+	b := h.take(func(b *Batch) { b.Cost = 1 })
+	h.pass(2)
+	h.News(b, 0, Progress, 0.05)
+	h.pass(0.2)
+	require.Len(t, h.of(Cancel, b), 1)
+	h.end(b, Withdrawn)
+	assert.Len(t, h.of(Dispatch, b), 2)
+}
+
+func TestAbsurdFiguresReachNoDecision(t *testing.T) {
+	h, list := newHost(t, settings(lookups()), 2)
+	for _, v := range []float64{math.NaN(), math.Inf(1), -3, 0} {
+		b := h.take(func(b *Batch) { b.Cost, b.Memory, b.Left = v, v, 1 })
+		h.Probed(list[0], true, &Report{Held: v, Waiting: v, Busy: v, Memory: v, Disks: v})
+		h.pass(0.2)
+		require.False(t, math.IsNaN(b.demand+b.alone+b.memory+b.goalAt+b.limitAt))
+		h.Outcome(b, 0, Returned, true, v, v, v, nil)
+		h.Outcome(b, 9, Returned, true, 1, 1, 1, nil)
+	}
+	h.pass(2)
+	require.False(t, math.IsNaN(h.mark+h.load+list[0].pace+h.meanDemand))
+}
+
+func TestProbesAreWorthTheirPrice(t *testing.T) {
+	s := settings(lookups())
+	s.MayProbe, s.ProbePrice = true, 0.02
+	h, _ := newHost(t, s, 3)
+	for range 40 {
+		h.end(h.take(nil), Returned)
+	}
+	assert.LessOrEqual(t, float64(len(h.of(Probe, nil)))*s.ProbePrice/40, probeWorth)
+	assert.NotEmpty(t, h.of(Probe, nil))
+}
+
+func TestRestartedRouterWorksFromAnOldList(t *testing.T) {
+	h, _ := newHost(t, settings(lookups()), 3)
+	assert.Len(t, h.of(Dispatch, h.take(nil)), 1)
+}
--- /dev/null
+++ b/brain/host_test.go
@@ -0,0 +1,104 @@
+package brain
+
+import "testing"
+
+// host is the tiny fake host of the stories: it pulls, keeps what was decided and wakes the router when asked.
+type host struct {
+	*Router
+	t     *testing.T
+	now   float64
+	wake  float64
+	did   []Decision
+	ids   uint64
+	group *ServiceGroup
+}
+
+func settings(g *ServiceGroup) Settings {
+	return Settings{Routers: 1, Groups: []*ServiceGroup{g}, CoresByKind: []float64{8}, MemoryByKind: []float64{16000},
+		LargestGrant: 0.5, Shortage: LineUp, MayDefer: true, LongestDefer: 0.5, MostDispatches: 3, ColdFrom: 0.4,
+		ColdTime: 10, FallMultiple: 2, FallTime: 1, SettleTime: 0.5, Tick: 0.005}
+}
+
+func lookups() *ServiceGroup {
+	return &ServiceGroup{Effect: Repeatable, Goal: 1, Limit: 4, Utility: 1, Threads: 1}
+}
+
+// newHost starts a router at 100 s with so many warm engines of 8 cores.
+func newHost(t *testing.T, s Settings, engines int) (*host, []*Engine) {
+	h := &host{Router: New(s, 7, 100), t: t, now: 100, wake: 1e9, group: s.Groups[0]}
+	var list []*Engine
+	for i := range engines {
+		list = append(list, &Engine{ID: uint32(i + 1), Phase: Ready, Zone: i, Cell: i})
+	}
+	h.Clock(h.now)
+	h.Listed(list, true)
+	h.pull()
+	return h, list
+}
+
+func (h *host) pull() {
+	for range 100000 {
+		d := h.Next()
+		if d.Kind == Nothing {
+			return
+		}
+		if d.Kind == WakeAt {
+			h.wake = min(h.wake, d.At)
+		}
+		h.did = append(h.did, d)
+	}
+	h.t.Fatal("the router never stops deciding")
+}
+
+// pass lets time go by; the router is woken as it asked.
+func (h *host) pass(seconds float64) {
+	for end := h.now + seconds; ; {
+		at := min(h.wake, end)
+		h.now = max(at, h.now)
+		h.Clock(h.now)
+		if at == end {
+			return
+		}
+		h.wake = 1e9
+		h.Woken()
+		h.pull()
+	}
+}
+
+func (h *host) take(edit func(*Batch)) *Batch {
+	h.ids++
+	b := &Batch{ID: h.ids, Group: h.group, Client: -1, Left: h.group.Limit, Cost: 0.1}
+	if edit != nil {
+		edit(b)
+	}
+	h.Take(b)
+	h.pull()
+	return b
+}
+
+func (h *host) end(b *Batch, end Ending) {
+	d := b.dispatches[len(b.dispatches)-1]
+	h.Outcome(b, d.number, end, end == Returned, h.now-d.sent, b.Cost, 0, nil)
+	h.pull()
+}
+
+func (h *host) report(e *Engine, held float64) {
+	h.Probed(e, true, &Report{Held: held, Waiting: -1, Busy: -1, Memory: -1, Disks: -1})
+}
+
+// of gives the decisions of a kind, about one batch or, with nil, any.
+func (h *host) of(k Kind, b *Batch) (out []Decision) {
+	for _, d := range h.did {
+		if d.Kind == k && (b == nil || d.Batch == b) {
+			out = append(out, d)
+		}
+	}
+	return out
+}
+
+// crowd fills every engine so that the gate is all but shut.
+func (h *host) crowd(list []*Engine) {
+	for _, e := range list {
+		h.report(e, 1e9)
+	}
+}
--- a/brain/types.go
+++ b/brain/types.go
@@ -218,8 +218,6 @@
 	lane                         *lane
 	bound                        *Engine // may have run there
 	boundAt                      float64
-	lost                         bool // no dispatch is allowed any more
-	pushed                       bool
 }
 
 type dispatch struct {
--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -5,7 +5,6 @@
 import (
 	"bufio"
 	"bytes"
-	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -26,7 +25,7 @@
 	var raw bytes.Buffer
 	for {
 		frame, err := simwire.ReadFrame(in, &raw)
-		if errors.Is(err, io.EOF) && frame == nil && raw.Len() == 0 {
+		if err == io.EOF {
 			return nil
 		}
 		if err != nil {
--- a/simwire/simwire.go
+++ b/simwire/simwire.go
@@ -4,7 +4,6 @@
 import (
 	"bytes"
 	"encoding/binary"
-	"errors"
 	"fmt"
 	"io"
 	"math"
@@ -54,11 +53,11 @@
 func ReadFrame(in io.Reader, into *bytes.Buffer) (*Frame, error) {
 	into.Reset()
 	n, err := io.CopyN(into, in, headerSize)
-	if n == 0 && errors.Is(err, io.EOF) {
+	if n == 0 && err == io.EOF {
 		return nil, io.EOF
 	}
 	if err != nil {
-		return nil, fmt.Errorf("frame header: %d of %d bytes: %w", n, headerSize, err)
+		return nil, fmt.Errorf("frame header: %d of %d bytes: %v", n, headerSize, err)
 	}
 	head := into.Bytes()
 	size := int64(binary.LittleEndian.Uint32(head))
@@ -71,7 +70,7 @@
 		return nil, fmt.Errorf("frame header: clock is not a number")
 	}
 	if n, err = io.CopyN(into, in, size-headerSize); err != nil {
-		return nil, fmt.Errorf("frame body: %d of %d bytes: %w", n, size-headerSize, err)
+		return nil, fmt.Errorf("frame body: %d of %d bytes: %v", n, size-headerSize, err)
 	}
 	return &Frame{Now: now, Records: records, body: into.Bytes()[headerSize:]}, nil
 }
