--- a/brain/brain.go
+++ b/brain/brain.go
@@ -22,7 +22,7 @@
 	mostPace    = 1.6
 	paceStep    = 0.05
 	paceTime    = 5.0
-	goodStretch = 2.0  // time over time alone of answers from engines that are full but not crowded
+	goodStretch = 1.5  // time over time alone of answers from engines that are full but not crowded
 	homeBonus   = 0.4  // threads a core that a likely warm data set is worth
 	slowLimit   = 4    // slow batches that may wait before the most slowed leaves
 	firstLoad   = 0.9  // load until something is seen
@@ -49,7 +49,7 @@
 
 // memoryFull is the share of an engine's memory that may be spoken for, by what it does when short. Reports are
 // late and routers fill one gap together; a cut grant is then paid in spills.
-var memoryFull = [...]float64{Overcommit: 0.75, CutGrant: 0.6, LineUp: 0.75}
+var memoryFull = [...]float64{Overcommit: 0.75, CutGrant: 0.5, LineUp: 0.75}
 
 func (h *histogram) add(ratio float64) {
 	bin := int(math.Ceil(2*math.Log2(max(ratio, 0.1)))) + 1
