--- a/brain/brain.go
+++ b/brain/brain.go
@@ -426,7 +426,6 @@
 		late := 0
 		e.pace += (1 - e.pace) * passed / paceTime // forgotten, as those that seem slow are seldom asked again
 		for _, d := range e.outs {
-			threads += d.threads
 			g := d.batch.Group
 			g.present += passed / sweepEvery
 			age, usual := r.now-d.sent, d.batch.alone*g.stretch.quantile(0.95, 8)
@@ -448,6 +447,7 @@
 				aside++
 			}
 			cores += e.cores
+			threads += r.figure(e) * e.cores * e.pace
 			if e.report.Busy >= 0 && e.reportAt > 0 {
 				busy, told = busy+e.report.Busy, told+1
 			}
