Answers move the mark by their work against the mean

Cause: look-ups with high priority hide the crowd that heavy batches suffer; the mark rose to its cap.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -270,7 +270,7 @@
 	// The mark is the threads a core at which answers take about so long: figures that leave out other
 	// routers' threads, spilling, busy disks and slow cores all show there. It only rises while batches wait.
 	if step := math.Log(goodStretch * work / (g.Threads * max(took, 1e-3))); step < 0 || len(r.held) > 0 {
-		step = min(max(step, -1), 1)
+		step = min(max(step, -1), 1) * min(2*work/max(r.meanDemand, 1e-3), 2)
 		r.mark = min(max(r.mark*(1+markStep*step), leastMark), mostMark)
 		e.pace = min(max(e.pace*(1+paceStep*step), leastPace), mostPace)
 	}
