--- a/brain/brain.go
+++ b/brain/brain.go
@@ -37,7 +37,7 @@
 	memoryRoom  = 8.0   // batches of its like that must find room in an engine's memory before one is sent
 	warmLoad    = 0.85  // the busy share of the cores that counts as capacity
 	probeWorth  = 0.005 // of the result that probes may cost
-	coldShare   = 0.5   // part of the cold budget that is used; the rest is for estimates that lie
+	coldShare   = 0.8   // part of the cold budget that is used; the rest is for estimates that lie
 	asideFirst  = 1.0   // an engine set aside is tried again after this, doubled each time
 	asideMost   = 8.0
 	trust       = 1.75 // part of an estimate that is believed when a batch is given up for lack of time
