--- a/brain/brain.go
+++ b/brain/brain.go
@@ -23,6 +23,7 @@
 	paceStep    = 0.05
 	paceTime    = 5.0
 	goodStretch = 1.5  // time over time alone of answers from engines that are full but not crowded
+	blocked     = 2.0  // threads a core that a load on the same data set counts for
 	homeBonus   = 0.4  // threads a core that a likely warm data set is worth
 	slowLimit   = 4    // slow batches that may wait before the most slowed leaves
 	firstLoad   = 0.9  // load until something is seen
@@ -569,7 +570,14 @@
 			continue
 		}
 		f := r.figure(e)
-		if b.home(e) >= next {
+		if g := b.Group; g.Load || g.Waits {
+			// A load holds its data set on its engine, and what waits for it stands still there with its memory.
+			if slices.ContainsFunc(e.outs, func(d *dispatch) bool {
+				return d.batch.Tables == b.Tables && (d.batch.Group.Load || g.Load && d.batch.Group.Waits)
+			}) {
+				f += blocked
+			}
+		} else if b.home(e) >= next {
 			f -= homeBonus
 		}
 		if e == last {
