--- a/brain/brain.go
+++ b/brain/brain.go
@@ -40,6 +40,7 @@
 	probeWorth  = 0.005 // of the result that probes may cost
 	coldShare   = 0.8   // part of the cold budget that is used; the rest is for estimates that lie
 	asideFirst  = 1.0   // an engine set aside is tried again after this, doubled each time
+	flaky       = 2.0   // threads a core that all failing counts for, to a batch of mean demand
 	asideMost   = 8.0
 	trust       = 1.75 // part of an estimate that is believed when a batch is given up for lack of time
 	sweepEvery  = 0.05
@@ -583,6 +584,8 @@
 		if e == last {
 			f += 1
 		}
+		// An engine that fails now and then costs a heavy batch more of its work than a small one.
+		f += flaky * e.bad / (e.good + e.bad + 1) * min(b.demand/max(r.meanDemand, 1e-6), 2)
 		if best == nil || f < figure {
 			best, figure = e, f
 		}
