--- a/brain/brain.go
+++ b/brain/brain.go
@@ -176,7 +176,10 @@
 		b.memory = g.memory / g.count
 	}
 	b.alone = b.demand / g.Threads
-	b.goalAt = r.now + g.Goal + g.GoalStretch*b.alone
+	b.endAt = b.limitAt
+	if g.LateShare <= 0 { // an answer past the goal earns nothing
+		b.endAt = min(b.limitAt, r.now+g.Goal+g.GoalStretch*b.alone)
+	}
 	r.meanDemand += (b.demand - r.meanDemand) / 64
 	if g.InOrder && b.Key != 0 {
 		if b.lane = r.lanes[b.Key]; b.lane == nil {
@@ -294,15 +297,13 @@
 			r.log("engine %d back after %.1f s", e.ID, e.backoff)
 			e.asideUntil, e.backoff, e.bad = 0, 0, 0
 		}
-	case Errored, Unconnected, Broken:
-		e.bad++
+	case Errored, Unconnected, Broken, TimedOut:
+		if end != TimedOut {
+			e.bad++
+		}
 		if e.bad >= 3 && e.bad > e.good/2 || e.asideUntil > 0 {
 			r.aside(e, "failing")
 		}
-	case TimedOut:
-		if e.asideUntil > 0 {
-			r.aside(e, "no answer")
-		}
 	}
 	if e.good+e.bad > 32 {
 		e.good, e.bad = e.good/2, e.bad/2
@@ -477,24 +478,13 @@
 	if d.engine.asideUntil > r.now && d.engine.signAt < d.sent {
 		return r.now+usual < d.batch.limitAt
 	}
-	if d.share <= 0 {
-		return false
-	}
-	age := d.shareAt - d.sent
-	rest := age*(1-d.share)/d.share - (r.now - d.shareAt)
-	return rest > restartGain*usual && r.now+usual < d.batch.limitAt
+	rest := (d.shareAt-d.sent)*(1-d.share)/d.share - (r.now - d.shareAt)
+	return d.share > 0 && rest > restartGain*usual && r.now+usual < d.batch.limitAt
 }
 
 // hopeless: it can no longer be answered with any utility, or not be sent again.
 func (r *Router) hopeless(b *Batch) bool {
-	if !r.again(b) {
-		return true
-	}
-	end := b.limitAt
-	if b.Group.LateShare <= 0 {
-		end = min(end, b.goalAt)
-	}
-	return r.now+trust*b.alone+3*sweepEvery > end
+	return !r.again(b) || r.now+trust*b.alone+3*sweepEvery > b.endAt
 }
 
 // release is the design's ordinary path: which batch leaves next, where to, and whether the gate lets it.
@@ -556,10 +546,6 @@
 
 // place gives the engine with the lowest figure among those the batch may go to.
 func (r *Router) place(b *Batch) (best *Engine, figure float64) {
-	last := (*Engine)(nil)
-	if n := len(b.dispatches); n > 0 {
-		last = b.dispatches[n-1].engine
-	}
 	home, next := 0.0, 0.0
 	for _, e := range r.engines {
 		if h := b.home(e); e.Phase == Ready && e.asideUntil == 0 {
@@ -581,8 +567,8 @@
 		} else if b.home(e) >= next {
 			f -= homeBonus
 		}
-		if e == last {
-			f += 1
+		if n := len(b.dispatches); n > 0 && b.dispatches[n-1].engine == e {
+			f++
 		}
 		// An engine that fails now and then costs a heavy batch more of its work than a small one.
 		f += flaky * e.bad / (e.good + e.bad + 1) * min(b.demand/max(r.meanDemand, 1e-6), 2)
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -254,7 +254,7 @@
 		b := h.take(func(b *Batch) { b.Cost, b.Memory, b.Left = v, v, 1 })
 		h.Probed(list[0], true, &Report{Held: v, Waiting: v, Busy: v, Memory: v, Disks: v})
 		h.pass(0.2)
-		require.False(t, math.IsNaN(b.demand+b.alone+b.memory+b.goalAt+b.limitAt))
+		require.False(t, math.IsNaN(b.demand+b.alone+b.memory+b.endAt+b.limitAt))
 		h.Outcome(b, 0, Returned, true, v, v, v, nil)
 		h.Outcome(b, 9, Returned, true, 1, 1, 1, nil)
 	}
--- a/brain/types.go
+++ b/brain/types.go
@@ -213,7 +213,7 @@
 
 type batchState struct {
 	taken, alone, demand, memory float64
-	goalAt, limitAt, redrawAt    float64
+	endAt, limitAt, redrawAt     float64
 	dispatches                   []*dispatch
 	lane                         *lane
 	bound                        *Engine // may have run there
