Being turned away counts as a failure of the engine

Covers any answer that comes fast and in vain; it may hurt when all engines are full at once, which the most-aside guard meets.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -297,7 +297,7 @@
 			r.log("engine %d back after %.1f s", e.ID, e.backoff)
 			e.asideUntil, e.backoff, e.bad = 0, 0, 0
 		}
-	case Errored, Unconnected, Broken, TimedOut:
+	case Errored, Unconnected, Broken, TurnedAway, TimedOut:
 		if end != TimedOut {
 			e.bad++
 		}
