--- a/brain/brain.go
+++ b/brain/brain.go
@@ -36,6 +36,7 @@
 	reportStale = 2.0   // an unchanged report is no longer believed
 	memorySpare = 1.25  // grant over the corrected need
 	memoryRoom  = 8.0   // batches of its like that must find room in an engine's memory before one is sent
+	generous    = 3.0   // times the grant, where only what is needed counts
 	warmLoad    = 0.85  // the busy share of the cores that counts as capacity
 	probeWorth  = 0.005 // of the result that probes may cost
 	coldShare   = 0.8   // part of the cold budget that is used; the rest is for estimates that lie
@@ -89,8 +90,11 @@
 		probeEvery: min(max(s.ProbePrice/probeWorth, 1), 16), coldFrom: s.ColdFrom, coldTime: s.ColdTime,
 		fallTime: s.FallTime, settle: s.SettleTime, tick: s.Tick, freeFurther: s.FreeFurther,
 		further: s.FurtherShare, furtherWindow: s.FurtherWindow, now: now, started: now,
-		random: seed&0xffffffff | 1<<33, lanes: map[uint64]*lane{}, load: firstLoad, mark: firstMark,
+		random: seed&0xffffffff | 1<<33, lanes: map[uint64]*lane{}, load: firstLoad, mark: firstMark, generous: 1,
 		swept: now, sweepAt: now, wakeAt: math.Inf(1)}
+	if r.grants && s.Shortage == Overcommit {
+		r.generous = generous
+	}
 	r.coldWork = coldShare * s.FallMultiple * s.ColdFrom * warmLoad * s.FallTime / r.routers
 	if s.MayDefer {
 		r.comeBack = s.LongestDefer
@@ -633,7 +637,7 @@
 	own, since := e.sum(func(d *dispatch) float64 { return d.memory })
 	used := own * r.routers
 	if e.report.Memory >= 0 && e.reportAt > 0 && r.now < e.reportAt+reportStale {
-		used = max(own, e.report.Memory*e.memory+since)
+		used = max(own, e.report.Memory*e.memory/r.generous+since)
 	}
 	// A small batch may go where a heavy one may not: it needs room for some of its like, of which other
 	// routers may be sending one each, but never more than the share that counts as full leaves free.
@@ -698,7 +702,7 @@
 	}
 	terms := Decision{Kind: Terms, Batch: b, Priority: 1}
 	if r.grants {
-		terms.Memory = d.memory
+		terms.Memory = min(d.memory*r.generous, r.largestGrant*e.memory)
 	}
 	if r.priorities {
 		ratio := 2 * b.demand / max(r.meanDemand, 1e-6) // the smaller against the mean, the higher: 3 under a half
--- a/brain/types.go
+++ b/brain/types.go
@@ -248,23 +248,23 @@
 
 // Router decides for one router. Its first figures are derived from the settings, once.
 type Router struct {
-	groups               []*ServiceGroup
-	routers              float64
-	coresByKind          []float64
-	memoryByKind         []float64
-	largestGrant         float64
-	full                 float64 // share of an engine's memory that may be spoken for
-	grants, priorities   bool
-	mayCancel, mayProbe  bool
-	mustAsk, rationed    bool
-	comeBack             float64
-	most                 int     // dispatches of a batch
-	probeEvery           float64 // own batches that pay for a probe
-	coldFrom, coldTime   float64
-	coldWork, fallTime   float64 // own work a core that a cold engine may get in each fall time
-	settle, tick         float64
-	freeFurther, further float64
-	furtherWindow        float64
+	groups                 []*ServiceGroup
+	routers                float64
+	coresByKind            []float64
+	memoryByKind           []float64
+	largestGrant, generous float64
+	full                   float64 // share of an engine's memory that may be spoken for
+	grants, priorities     bool
+	mayCancel, mayProbe    bool
+	mustAsk, rationed      bool
+	comeBack               float64
+	most                   int     // dispatches of a batch
+	probeEvery             float64 // own batches that pay for a probe
+	coldFrom, coldTime     float64
+	coldWork, fallTime     float64 // own work a core that a cold engine may get in each fall time
+	settle, tick           float64
+	freeFurther, further   float64
+	furtherWindow          float64
 
 	now, started      float64
 	random            uint64
