--- a/brain/brain.go
+++ b/brain/brain.go
@@ -34,7 +34,7 @@
 
 	reportLag   = 0.15  // a report is about this old when it comes
 	reportStale = 2.0   // an unchanged report is no longer believed
-	memorySpare = 1.25  // grant over the corrected need
+	memorySpare = 1.25   // grant over the corrected need
 	memoryRoom  = 8.0   // batches of its like that must find room in an engine's memory before one is sent
 	generous    = 3.0   // times the grant, where only what is needed counts
 	warmLoad    = 0.85  // the busy share of the cores that counts as capacity
