--- a/brain/brain.go
+++ b/brain/brain.go
@@ -1,12 +1,14 @@
 // Package brain holds all decisions of a router, its tables and its tuned values; its interface is types.go.
 //
-// How to call it: New, then for each round Clock, then what came in (Listed, Take, Outcome, Left, News, Probed,
-// Woken), which only updates what is known; then Next until it answers Nothing, carrying out each decision.
+// How to call it: New, then for each round Clock, then what came in (Listed, Take, Outcome, Left, News,
+// Probed, Woken), which only updates what is known; then Next until it answers Nothing, doing each decision.
 // Nothing here knows the time, draws chance or meets another router but through these calls.
 package brain
 
 import (
+	"cmp"
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 	"sort"
@@ -34,11 +36,12 @@
 
 	reportLag   = 0.15  // a report is about this old when it comes
 	reportStale = 2.0   // an unchanged report is no longer believed
-	memorySpare = 1.25   // grant over the corrected need
+	memorySpare = 1.25  // grant over the corrected need
 	memoryRoom  = 8.0   // batches of its like that must find room in an engine's memory before one is sent
 	generous    = 3.0   // times the grant, where only what is needed counts
 	warmLoad    = 0.85  // the busy share of the cores that counts as capacity
 	probeWorth  = 0.005 // of the result that probes may cost
+	probeRest   = 0.25  // between probes of one engine
 	coldShare   = 0.8   // part of the cold budget that is used; the rest is for estimates that lie
 	asideFirst  = 1.0   // an engine set aside is tried again after this, doubled each time
 	flaky       = 2.0   // threads a core that all failing counts for, to a batch of mean demand
@@ -51,8 +54,8 @@
 	restartGain = 2.0 // a dispatch starts over when that looks so many times quicker
 )
 
-// memoryFull is the share of an engine's memory that may be spoken for, by what it does when short. Reports are
-// late and routers fill one gap together; a cut grant is then paid in spills.
+// memoryFull is the share of an engine's memory that may be spoken for, by what it does when short. Reports
+// are late and routers fill one gap together; a cut grant is then paid in spills.
 var memoryFull = [...]float64{Overcommit: 0.75, CutGrant: 0.5, LineUp: 0.75}
 
 func (h *histogram) add(ratio float64) {
@@ -84,14 +87,16 @@
 // New starts a router. What decisions use of the settings is derived here, once.
 func New(s Settings, seed uint64, now float64) *Router {
 	r := &Router{groups: s.Groups, routers: max(float64(s.Routers), 1), coresByKind: s.CoresByKind,
-		memoryByKind: s.MemoryByKind, largestGrant: s.LargestGrant, full: memoryFull[s.Shortage],
-		grants: s.Grants, priorities: s.Priorities, mayCancel: s.MayCancel, mayProbe: s.MayProbe,
+		memoryByKind: s.MemoryByKind, full: memoryFull[s.Shortage],
+		largestGrant: min(cmp.Or(max(s.LargestGrant, 0), 1), 1), grants: s.Grants, priorities: s.Priorities,
+		mayCancel: s.MayCancel, mayProbe: s.MayProbe,
 		mustAsk: s.MustAsk, rationed: s.Rationed, most: max(s.MostDispatches, 1),
 		probeEvery: min(max(s.ProbePrice/probeWorth, 1), 16), coldFrom: s.ColdFrom, coldTime: s.ColdTime,
 		fallTime: s.FallTime, settle: s.SettleTime, tick: s.Tick, freeFurther: s.FreeFurther,
 		further: s.FurtherShare, furtherWindow: s.FurtherWindow, now: now, started: now,
-		random: seed&0xffffffff | 1<<33, lanes: map[uint64]*lane{}, load: firstLoad, mark: firstMark, generous: 1,
-		swept: now, sweepAt: now, wakeAt: math.Inf(1)}
+		random: seed&0xffffffff | 1<<33, lanes: map[uint64]*lane{}, load: firstLoad, mark: firstMark,
+		generous: 1,
+		swept:    now, sweepAt: now, wakeAt: math.Inf(1)}
 	if r.grants && s.Shortage == Overcommit {
 		r.generous = generous
 	}
@@ -99,9 +104,6 @@
 	if s.MayDefer {
 		r.comeBack = s.LongestDefer
 	}
-	if !(s.LargestGrant > 0 && s.LargestGrant <= 1) {
-		r.largestGrant = 1
-	}
 	for _, g := range s.Groups {
 		g.Threads = max(g.Threads, 1)
 	}
@@ -142,7 +144,8 @@
 			}
 		}
 		if e.started != e.StartedAt { // what was learned of the process before is void
-			e.started, e.pace, e.asideUntil, e.backoff, e.good, e.bad, e.reportAt = e.StartedAt, 1, 0, 0, 0, 0, 0
+			e.started, e.pace, e.asideUntil, e.backoff = e.StartedAt, 1, 0, 0
+			e.good, e.bad, e.reportAt = 0, 0, 0
 		}
 		if !slices.Contains(r.engines, e) {
 			r.engines = append(r.engines, e)
@@ -155,7 +158,8 @@
 			}
 		}
 	}
-	r.engines = slices.DeleteFunc(r.engines, func(e *Engine) bool { return e.Phase == Gone && len(e.outs) == 0 })
+	over := func(e *Engine) bool { return e.Phase == Gone && len(e.outs) == 0 }
+	r.engines = slices.DeleteFunc(r.engines, over)
 }
 
 // ListFailed says that asking for the list failed.
@@ -197,7 +201,7 @@
 	}
 	r.probeCredit = min(r.probeCredit+1, 8*r.probeEvery)
 	r.hold(b)
-	r.sweepAt = min(r.sweepAt, b.limitAt-4*sweepEvery) // a client's late try has no time to wait for the next one
+	r.sweepAt = min(r.sweepAt, b.limitAt-4*sweepEvery) // a late try can't wait for the next one
 }
 
 func (r *Router) hold(b *Batch) {
@@ -222,9 +226,6 @@
 		if i := slices.Index(l.line, b); i >= 0 {
 			l.line = slices.Delete(l.line, i, i+1)
 		}
-		if len(l.line) == 0 && l.out == 0 && r.now >= l.restTo {
-			delete(r.lanes, b.Key)
-		}
 	}
 }
 
@@ -285,9 +286,8 @@
 	}
 	g.stretch.add(took / max(b.alone, 1e-3))
 	if g.count >= 128 {
-		for _, v := range []*float64{&g.told, &g.needed, &g.seen, &g.memTold, &g.memNeeded, &g.work, &g.memory, &g.count} {
-			*v /= 2
-		}
+		g.told, g.needed, g.seen, g.memTold = g.told/2, g.needed/2, g.seen/2, g.memTold/2
+		g.memNeeded, g.work, g.memory, g.count = g.memNeeded/2, g.work/2, g.memory/2, g.count/2
 	}
 }
 
@@ -320,7 +320,7 @@
 	}
 	e.backoff = min(max(asideFirst, 2*e.backoff), asideMost)
 	e.asideAt, e.asideUntil = r.now, r.now+e.backoff*(0.75+0.5*r.draw())
-	r.log("engine %d aside for %.1f s: %s, good %.0f bad %.0f out %d", e.ID, e.backoff, why, e.good, e.bad, len(e.outs))
+	r.log("engine %d aside for %.1f s: %s, good %.0f bad %.0f", e.ID, e.backoff, why, e.good, e.bad)
 }
 
 // Probed ends a probe.
@@ -398,7 +398,8 @@
 		return false
 	}
 	g := b.Group
-	return b.bound == nil || g.Effect == Repeatable || g.Effect == Referenced && r.now < b.boundAt+g.Window-r.tick
+	return b.bound == nil || g.Effect == Repeatable ||
+		g.Effect == Referenced && r.now < b.boundAt+g.Window-r.tick
 }
 
 // rationed tells whether the budget of further dispatches is spent for now.
@@ -412,6 +413,9 @@
 
 // sweep looks now and then at all that is held or out for what time alone has changed.
 func (r *Router) sweep() {
+	maps.DeleteFunc(r.lanes, func(_ uint64, l *lane) bool {
+		return len(l.line) == 0 && l.out == 0 && r.now >= l.restTo
+	})
 	passed := min(r.now-r.swept, 1)
 	r.swept, r.sweepAt = r.now, r.now+sweepEvery
 	if r.mustAsk && !r.asked {
@@ -432,7 +436,7 @@
 	threads, cores, busy, told, ready, aside := 0.0, 0.0, 0.0, 0.0, 0, 0
 	for _, e := range r.engines {
 		late := 0
-		e.pace += (1 - e.pace) * passed / paceTime // forgotten, as those that seem slow are seldom asked again
+		e.pace += (1 - e.pace) * passed / paceTime // forgotten: the slow are seldom asked
 		for _, d := range e.outs {
 			g := d.batch.Group
 			g.present += passed / sweepEvery
@@ -474,9 +478,9 @@
 	}
 }
 
-// startOver: a dispatch that tells of so little done that a fresh one would be far quicker (a bad plan, an engine
-// that crawls), or one on an engine set aside. It may hurt when all engines slow down at once; the learned stretch
-// then grows and ends it.
+// startOver: a dispatch that tells of so little done that a fresh one would be far quicker (a bad plan, an
+// engine that crawls), or one on an engine set aside. It may hurt when all engines slow down at once; the
+// learned stretch then grows and ends it.
 func (r *Router) startOver(d *dispatch) bool {
 	usual := d.batch.alone * d.batch.Group.stretch.quantile(0.75, 4)
 	if d.engine.asideUntil > r.now && d.engine.signAt < d.sent {
@@ -513,14 +517,15 @@
 	return nil, nil
 }
 
-// pick: the smallest demand past twice the threshold; else, with more slow ones than the limit, the most slowed;
-// else the smallest demand.
+// pick: the smallest demand past twice the threshold; else, with more slow ones than the limit, the most
+// slowed; else the smallest demand.
 func (r *Router) pick() *Batch {
 	threshold := 1 / (1 - r.load)
 	var first, worst *Batch
 	slow, most := 0, 0.0
 	for _, b := range r.held {
-		if b.redrawAt > r.now || b.Over || !r.turn(b) || len(b.dispatches) > 0 && (!r.again(b) || r.rationed && r.spent()) {
+		if b.redrawAt > r.now || !r.turn(b) ||
+			len(b.dispatches) > 0 && (!r.again(b) || r.rationed && r.spent()) {
 			continue
 		}
 		if first == nil {
@@ -562,7 +567,7 @@
 		}
 		f := r.figure(e)
 		if g := b.Group; g.Load || g.Waits {
-			// A load holds its data set on its engine, and what waits for it stands still there with its memory.
+			// A load holds its data set on its engine; what waits for it stands still there with its memory.
 			if slices.ContainsFunc(e.outs, func(d *dispatch) bool {
 				return d.batch.Tables == b.Tables && (d.batch.Group.Load || g.Load && d.batch.Group.Waits)
 			}) {
@@ -598,7 +603,8 @@
 		return false
 	}
 	if b.bound != nil && g.Effect == Referenced {
-		if g.Scope == WithinZone && e.Zone != b.bound.Zone || g.Scope == WithinCell && e.Cell != b.bound.Cell {
+		at := b.bound
+		if g.Scope == WithinZone && e.Zone != at.Zone || g.Scope == WithinCell && e.Cell != at.Cell {
 			return false
 		}
 	}
@@ -609,8 +615,8 @@
 	return e.StartedAt > 0 && r.now < e.StartedAt+r.coldTime+0.5
 }
 
-// coldRoom: our share of what may be sent to a cold engine in any window of the fall time. After our own start
-// nobody knows what we sent before, so the first window is taken as spent.
+// coldRoom: our share of what may be sent to a cold engine in any window of the fall time. After our own
+// start nobody knows what we sent before, so the first window is taken as spent.
 func (r *Router) coldRoom(e *Engine, work float64) bool {
 	if r.now < r.started+r.fallTime {
 		return false
@@ -689,7 +695,7 @@
 	wait := b.limitAt - r.now
 	if g := b.Group; g.Effect == Repeatable && len(b.dispatches) < r.most {
 		own := overdue*b.alone*g.stretch.quantile(0.98, 16) + 0.5
-		if e.asideUntil > 0 {
+		if e.asideUntil > 0 { // a trial
 			own = b.alone*g.stretch.quantile(0.9, 4) + 0.5
 		}
 		if r.now+own+2*b.alone < b.limitAt {
@@ -705,7 +711,7 @@
 		terms.Memory = min(d.memory*r.generous, r.largestGrant*e.memory)
 	}
 	if r.priorities {
-		ratio := 2 * b.demand / max(r.meanDemand, 1e-6) // the smaller against the mean, the higher: 3 under a half
+		ratio := 2 * b.demand / max(r.meanDemand, 1e-6) // 3 under half the mean
 		terms.Priority = min(max(3-int(math.Ceil(math.Log2(max(ratio, 0.25))/2)), 0), 3)
 	}
 	r.next = append(r.next, out)
@@ -719,7 +725,8 @@
 	}
 	var oldest *Engine
 	for _, e := range r.engines {
-		if e.Phase == Ready && !e.probing && r.now > e.probedAt+0.25 && (oldest == nil || e.probedAt < oldest.probedAt) {
+		due := e.Phase == Ready && !e.probing && r.now > e.probedAt+probeRest
+		if due && (oldest == nil || e.probedAt < oldest.probedAt) {
 			oldest = e
 		}
 	}
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -147,10 +147,11 @@
 	h.take(nil)
 	assert.Empty(t, h.of(Dispatch, nil), "after our own start the first window counts as spent")
 	h.pass(1)
-	for range 50 {
+	for i := range 50 {
 		if b := h.take(nil); b.Out > 0 {
-			h.end(b, TurnedAway) // rejected work counts
+			h.end(b, []Ending{TurnedAway, Returned, Returned, Returned}[i%4]) // rejected work counts
 		}
+		h.pass(0.018)
 	}
 	work := 0.0
 	for _, d := range h.of(Dispatch, nil) {
@@ -195,10 +196,10 @@
 	s := settings(lookups())
 	s.Rationed, s.FreeFurther, s.FurtherShare, s.FurtherWindow = true, 1, 0.1, 10
 	h, _ := newHost(t, s, 3)
-	for range 20 {
-		h.end(h.take(nil), TurnedAway)
+	for i := range 60 {
+		h.end(h.take(nil), []Ending{TurnedAway, Returned, Returned, Returned}[i%4])
 	}
-	assert.Equal(t, 1+2, len(h.of(Dispatch, nil))-20)
+	assert.Equal(t, 1+6, len(h.of(Dispatch, nil))-60)
 }
 
 func TestFailingEngineIsSetAsideAndTriedAgain(t *testing.T) {
@@ -213,7 +214,8 @@
 	assert.NotEmpty(t, h.of(Log, nil))
 	h.now = list[0].asideUntil + 0.1
 	h.Clock(h.now)
-	assert.True(t, h.fit(h.take(func(b *Batch) { b.Cost = 5 }), list[0]) || len(list[0].outs) == 1, "one batch as a trial")
+	h.pull()
+	assert.True(t, h.fit(h.take(func(b *Batch) { b.Cost = 5 }), list[0]) != (len(list[0].outs) == 1), "one as a trial")
 }
 
 func TestSilentEngineIsSetAside(t *testing.T) {
@@ -277,3 +279,49 @@
 	h, _ := newHost(t, settings(lookups()), 3)
 	assert.Len(t, h.of(Dispatch, h.take(nil)), 1)
 }
+
+func TestEngineThatRefusesAtOnceDrawsNothing(t *testing.T) {
+	h, list := newHost(t, settings(lookups()), 2)
+	for range 40 {
+		b := h.take(nil)
+		for b.Out > 0 && b.dispatches[len(b.dispatches)-1].engine == list[0] {
+			h.end(b, TurnedAway)
+		}
+		h.pass(0.05)
+	}
+	assert.Positive(t, list[0].asideUntil)
+	vain := 0
+	for _, d := range h.of(Dispatch, nil) {
+		if d.Engine == list[0] {
+			vain++
+		}
+	}
+	assert.Less(t, vain, 20)
+}
+
+func TestLoadsOnOneDataSetKeepApart(t *testing.T) {
+	g := lookups()
+	g.Load = true
+	h, _ := newHost(t, settings(g), 2)
+	one, two := h.take(nil), h.take(nil)
+	assert.NotSame(t, h.of(Dispatch, one)[0].Engine, h.of(Dispatch, two)[0].Engine)
+}
+
+func TestSmallBatchPassesWhereMemoryIsFullForHeavyOnes(t *testing.T) {
+	h, list := newHost(t, settings(lookups()), 1)
+	h.take(nil)
+	h.Probed(list[0], true, &Report{Held: 1, Waiting: -1, Busy: -1, Memory: 0.8, Disks: -1})
+	assert.Empty(t, h.of(Dispatch, h.take(func(b *Batch) { b.Memory = 2000 })))
+	assert.Len(t, h.of(Dispatch, h.take(func(b *Batch) { b.Memory = 100 })), 1)
+}
+
+func TestGrantsAreGenerousWhereUnneededMemoryStaysFree(t *testing.T) {
+	grant := func(how Shortage) float64 {
+		s := settings(lookups())
+		s.Grants, s.Shortage = true, how
+		h, _ := newHost(t, s, 1)
+		return h.of(Terms, h.take(func(b *Batch) { b.Memory = 1000 }))[0].Memory
+	}
+	assert.InDelta(t, memorySpare*1000, grant(LineUp), 1e-6)
+	assert.InDelta(t, memorySpare*generous*1000, grant(Overcommit), 1e-6)
+}
