--- a/brain/brain.go
+++ b/brain/brain.go
@@ -20,10 +20,6 @@
 	leastMark   = 0.4
 	mostMark    = 4.0
 	markStep    = 0.02
-	leastPace   = 0.4
-	mostPace    = 1.6
-	paceStep    = 0.05
-	paceTime    = 5.0
 	goodStretch = 1.5  // time over time alone of answers from engines that are full but not crowded
 	blocked     = 2.0  // threads a core that a load on the same data set counts for
 	homeBonus   = 0.4  // threads a core that a likely warm data set is worth
@@ -44,7 +40,6 @@
 	probeRest   = 0.25  // between probes of one engine
 	coldShare   = 0.8   // part of the cold budget that is used; the rest is for estimates that lie
 	asideFirst  = 1.0   // an engine set aside is tried again after this, doubled each time
-	flaky       = 2.0   // threads a core that all failing counts for, to a batch of mean demand
 	asideMost   = 8.0
 	trust       = 1.75 // part of an estimate that is believed when a batch is given up for lack of time
 	sweepEvery  = 0.05
@@ -135,7 +130,7 @@
 func (r *Router) Listed(list []*Engine, whole bool) {
 	for _, e := range list {
 		if e.cores == 0 {
-			e.cores, e.pace, e.started = 1, 1, e.StartedAt
+			e.cores, e.started = 1, e.StartedAt
 			if e.Kind < len(r.coresByKind) {
 				e.cores = max(r.coresByKind[e.Kind], 1)
 			}
@@ -144,7 +139,7 @@
 			}
 		}
 		if e.started != e.StartedAt { // what was learned of the process before is void
-			e.started, e.pace, e.asideUntil, e.backoff = e.StartedAt, 1, 0, 0
+			e.started, e.asideUntil, e.backoff = e.StartedAt, 0, 0
 			e.good, e.bad, e.reportAt = 0, 0, 0
 		}
 		if !slices.Contains(r.engines, e) {
@@ -257,7 +252,7 @@
 	r.gateAt = r.now
 	r.judge(e, end)
 	if end == Returned && work > 0 {
-		r.learn(b, e, took, sane(work, 1e5), sane(memory, 1e7))
+		r.learn(b, took, sane(work, 1e5), sane(memory, 1e7))
 	}
 	if last {
 		r.over(b)
@@ -268,7 +263,7 @@
 }
 
 // learn keeps what an answer tells of its service group.
-func (r *Router) learn(b *Batch, e *Engine, took, work, memory float64) {
+func (r *Router) learn(b *Batch, took, work, memory float64) {
 	g := b.Group
 	if b.Cost > 0 && b.Cost < 1e5 {
 		g.told, g.needed, g.seen = g.told+b.Cost, g.needed+work, g.seen+1
@@ -282,7 +277,6 @@
 	if step := math.Log(goodStretch * work / (g.Threads * max(took, 1e-3))); step < 0 || len(r.held) > 0 {
 		step = min(max(step, -1), 1) * min(2*work/max(r.meanDemand, 1e-3), 2)
 		r.mark = min(max(r.mark*(1+markStep*step), leastMark), mostMark)
-		e.pace = min(max(e.pace*(1+paceStep*step), leastPace), mostPace)
 	}
 	g.stretch.add(took / max(b.alone, 1e-3))
 	if g.count >= 128 {
@@ -436,7 +430,6 @@
 	threads, cores, busy, told, ready, aside := 0.0, 0.0, 0.0, 0.0, 0, 0
 	for _, e := range r.engines {
 		late := 0
-		e.pace += (1 - e.pace) * passed / paceTime // forgotten: the slow are seldom asked
 		for _, d := range e.outs {
 			g := d.batch.Group
 			g.present += passed / sweepEvery
@@ -459,7 +452,7 @@
 				aside++
 			}
 			cores += e.cores
-			threads += r.figure(e) * e.cores * e.pace
+			threads += r.figure(e) * e.cores
 			if e.report.Busy >= 0 && e.reportAt > 0 {
 				busy, told = busy+e.report.Busy, told+1
 			}
@@ -579,8 +572,6 @@
 		if n := len(b.dispatches); n > 0 && b.dispatches[n-1].engine == e {
 			f++
 		}
-		// An engine that fails now and then costs a heavy batch more of its work than a small one.
-		f += flaky * e.bad / (e.good + e.bad + 1) * min(b.demand/max(r.meanDemand, 1e-6), 2)
 		if best == nil || f < figure {
 			best, figure = e, f
 		}
@@ -602,11 +593,9 @@
 		g.Kinds != nil && !slices.Contains(g.Kinds, e.Kind) {
 		return false
 	}
-	if b.bound != nil && g.Effect == Referenced {
-		at := b.bound
-		if g.Scope == WithinZone && e.Zone != at.Zone || g.Scope == WithinCell && e.Cell != at.Cell {
-			return false
-		}
+	if at := b.bound; at != nil && g.Effect == Referenced &&
+		(g.Scope == WithinZone && e.Zone != at.Zone || g.Scope == WithinCell && e.Cell != at.Cell) {
+		return false
 	}
 	return !r.cold(e) || r.coldRoom(e, b.demand)
 }
@@ -671,7 +660,7 @@
 	if e.report.Held >= 0 && e.reportAt > 0 && r.now < e.reportAt+reportStale {
 		threads = max(own, e.report.Held*r.meanThreads+since)
 	}
-	return threads / (e.cores * e.pace)
+	return threads / e.cores
 }
 
 // send books a dispatch; its terms go first.
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -261,7 +261,7 @@
 		h.Outcome(b, 9, Returned, true, 1, 1, 1, nil)
 	}
 	h.pass(2)
-	require.False(t, math.IsNaN(h.mark+h.load+list[0].pace+h.meanDemand))
+	require.False(t, math.IsNaN(h.mark+h.load+h.meanDemand+h.figure(list[0])))
 }
 
 func TestProbesAreWorthTheirPrice(t *testing.T) {
--- a/brain/types.go
+++ b/brain/types.go
@@ -208,7 +208,6 @@
 	asideAt, started    float64
 	good, bad           float64 // endings, halved from time to time
 	sends               []spend
-	pace                float64
 }
 
 type batchState struct {
