--- a/brain/brain.go
+++ b/brain/brain.go
@@ -632,7 +632,7 @@
 	own, since := e.sum(func(d *dispatch) float64 { return d.memory })
 	used := own * r.routers
 	if e.report.Memory >= 0 && e.reportAt > 0 && r.now < e.reportAt+reportStale {
-		used = max(own, e.report.Memory*e.memory/r.generous+since)
+		used = max(own, e.report.Memory*e.memory/r.generous+since*r.routers)
 	}
 	// A small batch may go where a heavy one may not: it needs room for some of its like, of which other
 	// routers may be sending one each, but never more than the share that counts as full leaves free.
@@ -651,14 +651,15 @@
 	return own, since
 }
 
-// figure is the engine's threads a core: its report's count and what was sent since. Where that is lacking or
-// stale, own threads stand in, times the routers: a gateway that counts only its own fills what others have
-// filled. That is wrong where traffic is uneven; the mark then follows the answers.
+// figure is the engine's threads a core: its report's count and what was sent since; where that is lacking or
+// stale, own threads stand in. Own ones count once for each router: a gateway that counts only its own fills
+// what others have filled, and with late reports all fall on one engine together. That is wrong where traffic
+// is uneven; the mark then follows the answers.
 func (r *Router) figure(e *Engine) float64 {
 	own, since := e.sum(func(d *dispatch) float64 { return d.threads })
 	threads := own * r.routers
 	if e.report.Held >= 0 && e.reportAt > 0 && r.now < e.reportAt+reportStale {
-		threads = max(own, e.report.Held*r.meanThreads+since)
+		threads = max(own, e.report.Held*r.meanThreads+since*r.routers)
 	}
 	return threads / e.cores
 }
