--- a/brain/brain.go
+++ b/brain/brain.go
@@ -33,6 +33,7 @@
 	reportLag   = 0.15  // a report is about this old when it comes
 	reportStale = 2.0   // an unchanged report is no longer believed
 	memorySpare = 1.25  // grant over the corrected need
+	memoryFull  = 0.65  // share of an engine's memory that heavy batches may speak for: reports are late
 	memoryRoom  = 8.0   // batches of its like that must find room in an engine's memory before one is sent
 	generous    = 3.0   // times the grant, where only what is needed counts
 	warmLoad    = 0.85  // the busy share of the cores that counts as capacity
@@ -49,10 +50,6 @@
 	restartGain = 2.0 // a dispatch starts over when that looks so many times quicker
 )
 
-// memoryFull is the share of an engine's memory that may be spoken for, by what it does when short. Reports
-// are late and routers fill one gap together; a cut grant is then paid in spills.
-var memoryFull = [...]float64{Overcommit: 0.75, CutGrant: 0.5, LineUp: 0.75}
-
 func (h *histogram) add(ratio float64) {
 	bin := int(math.Ceil(2*math.Log2(max(ratio, 0.1)))) + 1
 	h.bins[min(max(bin, 0), len(h.bins)-1)]++
@@ -82,7 +79,7 @@
 // New starts a router. What decisions use of the settings is derived here, once.
 func New(s Settings, seed uint64, now float64) *Router {
 	r := &Router{groups: s.Groups, routers: max(float64(s.Routers), 1), coresByKind: s.CoresByKind,
-		memoryByKind: s.MemoryByKind, full: memoryFull[s.Shortage],
+		memoryByKind: s.MemoryByKind,
 		largestGrant: min(cmp.Or(max(s.LargestGrant, 0), 1), 1), grants: s.Grants, priorities: s.Priorities,
 		mayCancel: s.MayCancel, mayProbe: s.MayProbe,
 		mustAsk: s.MustAsk, rationed: s.Rationed, most: max(s.MostDispatches, 1),
@@ -637,7 +634,7 @@
 	// A small batch may go where a heavy one may not: it needs room for some of its like, of which other
 	// routers may be sending one each, but never more than the share that counts as full leaves free.
 	need := b.memory * memorySpare
-	return used+min(memoryRoom*need, need+(1-r.full)*e.memory) <= e.memory
+	return used+min(memoryRoom*need, need+(1-memoryFull)*e.memory) <= e.memory
 }
 
 // sum adds up own dispatches out there, and those that its report can't hold yet.
--- a/brain/types.go
+++ b/brain/types.go
@@ -252,7 +252,6 @@
 	coresByKind            []float64
 	memoryByKind           []float64
 	largestGrant, generous float64
-	full                   float64 // share of an engine's memory that may be spoken for
 	grants, priorities     bool
 	mayCancel, mayProbe    bool
 	mustAsk, rationed      bool
