--- a/brain/brain.go
+++ b/brain/brain.go
@@ -623,7 +623,7 @@
 	if e.asideUntil > 0 && (r.now < e.asideUntil && !r.shaken || n > 0 && e.outs[n-1].sent >= e.asideAt) {
 		return false
 	}
-	if e.memory <= 0 || b.memory <= 0 || n == 0 {
+	if e.memory <= 0 || b.memory <= 0 {
 		return true
 	}
 	own, since := e.sum(func(d *dispatch) float64 { return d.memory })
@@ -633,7 +633,7 @@
 	}
 	// A small batch may go where a heavy one may not: it needs room for some of its like, of which other
 	// routers may be sending one each, but never more than the share that counts as full leaves free.
-	need := b.memory * memorySpare
+	need := min(b.memory*memorySpare, r.largestGrant*e.memory)
 	return used+min(memoryRoom*need, need+(1-memoryFull)*e.memory) <= e.memory
 }
 
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -309,7 +309,6 @@
 
 func TestSmallBatchPassesWhereMemoryIsFullForHeavyOnes(t *testing.T) {
 	h, list := newHost(t, settings(lookups()), 1)
-	h.take(nil)
 	h.Probed(list[0], true, &Report{Held: 1, Waiting: -1, Busy: -1, Memory: 0.8, Disks: -1})
 	assert.Empty(t, h.of(Dispatch, h.take(func(b *Batch) { b.Memory = 2000 })))
 	assert.Len(t, h.of(Dispatch, h.take(func(b *Batch) { b.Memory = 100 })), 1)
