--- a/brain/brain.go
+++ b/brain/brain.go
@@ -30,7 +30,7 @@
 	redrawLeast = 0.05
 	redrawMost  = 0.2
 
-	reportLag   = 0.15  // a report is about this old when it comes
+	reportLag   = 0.4   // a report is about this old when it comes
 	reportStale = 2.0   // an unchanged report is no longer believed
 	memorySpare = 1.25  // grant over the corrected need
 	memoryFull  = 0.65  // share of an engine's memory that heavy batches may speak for: reports are late
@@ -42,7 +42,7 @@
 	coldShare   = 0.8   // part of the cold budget that is used; the rest is for estimates that lie
 	asideFirst  = 1.0   // an engine set aside is tried again after this, doubled each time
 	asideMost   = 8.0
-	trust       = 1.75 // part of an estimate that is believed when a batch is given up for lack of time
+	trust       = 2.0 // times the estimate must fit in the time left, else a batch is given up
 	sweepEvery  = 0.05
 	mostTries   = 16  // batches without a fitting engine that one pull looks at
 	presentTime = 5.0 // how long a service group's dispatches count towards the mean threads
