--- a/brain/brain.go
+++ b/brain/brain.go
@@ -39,7 +39,7 @@
 	warmLoad    = 0.85  // the busy share of the cores that counts as capacity
 	probeWorth  = 0.005 // of the result that probes may cost
 	probeRest   = 0.25  // between probes of one engine
-	coldShare   = 0.8   // part of the cold budget that is used; the rest is for estimates that lie
+	coldShare   = 0.65  // part of the cold budget that is used; the rest is for estimates that lie
 	asideFirst  = 1.0   // an engine set aside is tried again after this, doubled each time
 	asideMost   = 8.0
 	trust       = 2.0 // times the estimate must fit in the time left, else a batch is given up
