--- a/brain/brain.go
+++ b/brain/brain.go
@@ -79,16 +79,14 @@
 // New starts a router. What decisions use of the settings is derived here, once.
 func New(s Settings, seed uint64, now float64) *Router {
 	r := &Router{groups: s.Groups, routers: max(float64(s.Routers), 1), coresByKind: s.CoresByKind,
-		memoryByKind: s.MemoryByKind,
-		largestGrant: min(cmp.Or(max(s.LargestGrant, 0), 1), 1), grants: s.Grants, priorities: s.Priorities,
-		mayCancel: s.MayCancel, mayProbe: s.MayProbe,
+		memoryByKind: s.MemoryByKind, grants: s.Grants, priorities: s.Priorities,
+		largestGrant: min(cmp.Or(max(s.LargestGrant, 0), 1), 1), mayCancel: s.MayCancel, mayProbe: s.MayProbe,
 		mustAsk: s.MustAsk, rationed: s.Rationed, most: max(s.MostDispatches, 1),
 		probeEvery: min(max(s.ProbePrice/probeWorth, 1), 16), coldFrom: s.ColdFrom, coldTime: s.ColdTime,
 		fallTime: s.FallTime, settle: s.SettleTime, tick: s.Tick, freeFurther: s.FreeFurther,
 		further: s.FurtherShare, furtherWindow: s.FurtherWindow, now: now, started: now,
 		random: seed&0xffffffff | 1<<33, lanes: map[uint64]*lane{}, load: firstLoad, mark: firstMark,
-		generous: 1,
-		swept:    now, sweepAt: now, wakeAt: math.Inf(1)}
+		generous: 1, swept: now, sweepAt: now, wakeAt: math.Inf(1)}
 	if r.grants && s.Shortage == Overcommit {
 		r.generous = generous
 	}
@@ -209,9 +207,6 @@
 
 // over ends a batch: nothing is sent for it any more.
 func (r *Router) over(b *Batch) {
-	if b.Over {
-		return
-	}
 	b.Over = true
 	r.unhold(b)
 	if l := b.lane; l != nil {
@@ -233,8 +228,8 @@
 	d.ended = true
 	b.Out--
 	e.outs = slices.DeleteFunc(e.outs, func(o *dispatch) bool { return o == d })
-	if rep != nil && *rep != e.report { // the same figures again are the same report
-		e.report, e.reportAt = *rep, r.now
+	if rep != nil && clean(*rep) != e.report { // the same figures again are the same report
+		e.report, e.reportAt = clean(*rep), r.now
 	}
 	doubt := end == TimedOut || end == Broken || end == Withdrawn
 	if l := b.lane; l != nil {
@@ -282,7 +277,7 @@
 	}
 }
 
-// judge sets an engine aside that errs, breaks or refuses connections more than it answers.
+// judge sets an engine aside that fails too often for what it answers; one that refuses at once looks idle.
 func (r *Router) judge(e *Engine, end Ending) {
 	switch end {
 	case Returned:
@@ -318,10 +313,20 @@
 func (r *Router) Probed(e *Engine, ok bool, rep *Report) {
 	e.probing = false
 	if ok && rep != nil {
-		e.report, e.reportAt = *rep, r.now
+		e.report, e.reportAt = clean(*rep), r.now
 	}
 }
 
+// clean leaves only figures that an engine can mean.
+func clean(rep Report) Report {
+	for _, v := range []*float64{&rep.Held, &rep.Waiting, &rep.Busy, &rep.Memory, &rep.Disks} {
+		if *v = min(*v, 1e4); !(*v >= 0) {
+			*v = -1
+		}
+	}
+	return rep
+}
+
 // News tells of a dispatch that is out.
 func (r *Router) News(b *Batch, no int, kind Note, level float64) {
 	if no >= len(b.dispatches) || b.dispatches[no].ended {
@@ -393,7 +398,7 @@
 		g.Effect == Referenced && r.now < b.boundAt+g.Window-r.tick
 }
 
-// rationed tells whether the budget of further dispatches is spent for now.
+// spent tells whether the budget of further dispatches is spent for now.
 func (r *Router) spent() bool {
 	since := func(list []float64) []float64 {
 		return list[sort.Search(len(list), func(i int) bool { return list[i] > r.now-r.furtherWindow }):]
@@ -682,9 +687,6 @@
 	wait := b.limitAt - r.now
 	if g := b.Group; g.Effect == Repeatable && len(b.dispatches) < r.most {
 		own := overdue*b.alone*g.stretch.quantile(0.98, 16) + 0.5
-		if e.asideUntil > 0 { // a trial
-			own = b.alone*g.stretch.quantile(0.9, 4) + 0.5
-		}
 		if r.now+own+2*b.alone < b.limitAt {
 			wait = own
 		}
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -262,6 +262,8 @@
 	}
 	h.pass(2)
 	require.False(t, math.IsNaN(h.mark+h.load+h.meanDemand+h.figure(list[0])))
+	assert.Equal(t, -1.0, clean(Report{Held: math.NaN()}).Held)
+	assert.Equal(t, 1e4, clean(Report{Held: math.Inf(1)}).Held)
 }
 
 func TestProbesAreWorthTheirPrice(t *testing.T) {
