--- a/brain/brain.go
+++ b/brain/brain.go
@@ -228,9 +228,7 @@
 	d.ended = true
 	b.Out--
 	e.outs = slices.DeleteFunc(e.outs, func(o *dispatch) bool { return o == d })
-	if rep != nil && clean(*rep) != e.report { // the same figures again are the same report
-		e.report, e.reportAt = clean(*rep), r.now
-	}
+	r.heard(e, rep)
 	doubt := end == TimedOut || end == Broken || end == Withdrawn
 	if l := b.lane; l != nil {
 		l.out--
@@ -312,7 +310,13 @@
 // Probed ends a probe.
 func (r *Router) Probed(e *Engine, ok bool, rep *Report) {
 	e.probing = false
-	if ok && rep != nil {
+	if ok {
+		r.heard(e, rep)
+	}
+}
+
+func (r *Router) heard(e *Engine, rep *Report) {
+	if rep != nil && clean(*rep) != e.report { // the same figures again are the same report, or frozen
 		e.report, e.reportAt = clean(*rep), r.now
 	}
 }
@@ -473,9 +477,8 @@
 	}
 }
 
-// startOver: a dispatch that tells of so little done that a fresh one would be far quicker (a bad plan, an
-// engine that crawls), or one on an engine set aside. It may hurt when all engines slow down at once; the
-// learned stretch then grows and ends it.
+// startOver: a fresh dispatch would be far quicker (a bad plan, an engine that crawls), or the engine is set
+// aside. It may hurt when all engines slow down at once, until the learned stretch has grown.
 func (r *Router) startOver(d *dispatch) bool {
 	usual := d.batch.alone * d.batch.Group.stretch.quantile(0.75, 4)
 	if d.engine.asideUntil > r.now && d.engine.signAt < d.sent {
@@ -505,8 +508,7 @@
 		if figure < r.mark || r.draw() < r.mark/figure {
 			return b, e
 		}
-		// The page lets the batch redraw. With many held that opens the gate again for each of them, and a
-		// crowd walks through it: the whole gateway waits for the redraw instead.
+		// The page lets the batch redraw; with many held a crowd walks through, so the whole gateway waits.
 		r.gateAt = r.now + redrawLeast + (redrawMost-redrawLeast)*r.draw()
 	}
 	return nil, nil
@@ -653,10 +655,9 @@
 	return own, since
 }
 
-// figure is the engine's threads a core: its report's count and what was sent since; where that is lacking or
-// stale, own threads stand in. Own ones count once for each router: a gateway that counts only its own fills
-// what others have filled, and with late reports all fall on one engine together. That is wrong where traffic
-// is uneven; the mark then follows the answers.
+// figure is the engine's threads a core: the count reported and what was sent since, or own threads. Own ones
+// count once for each router: who counts only its own fills what others have filled, and with late reports all
+// fall on one engine together. That is wrong where traffic is uneven; the mark then follows the answers.
 func (r *Router) figure(e *Engine) float64 {
 	own, since := e.sum(func(d *dispatch) float64 { return d.threads })
 	threads := own * r.routers
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -71,6 +71,7 @@
 	assert.InDelta(t, (6+4*4.0)/8, h.figure(list[0]), 1e-9, "a report's count and the threads sent since")
 	h.now += reportStale + 1
 	h.Clock(h.now)
+	h.report(list[0], 6)
 	assert.InDelta(t, 2.0, h.figure(list[0]), 1e-9, "frozen reports are not believed")
 }
 
