--- a/brain/brain.go
+++ b/brain/brain.go
@@ -656,7 +656,7 @@
 }
 
 // figure is the engine's threads a core: the count reported and what was sent since, or own threads. Own ones
-// count once for each router: who counts only its own fills what others have filled, and with late reports all
+// count once for each router: who counts only its own fills what others filled, and with late reports all
 // fall on one engine together. That is wrong where traffic is uneven; the mark then follows the answers.
 func (r *Router) figure(e *Engine) float64 {
 	own, since := e.sum(func(d *dispatch) float64 { return d.threads })
