Others' part of an engine pooled over fleet and time

Cause: own threads and memory times the number of routers; with 200 routers one batch read as a full engine, unasked engines read as empty, and all routers met on the first of the list or on a data set's home. Change: reports give a pool of what engines hold; an engine without one holds the pool and ours, an ageing one leans to it; what was sent since counts for those routers that likely act on the like of it; ties fall by chance; home bonus only on engines with a believed report.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -45,7 +45,8 @@
 	trust       = 2.0 // times the estimate must fit in the time left, else a batch is given up
 	sweepEvery  = 0.05
 	mostTries   = 16  // batches without a fitting engine that one pull looks at
-	presentTime = 5.0 // how long a service group's dispatches count towards the mean threads
+	presentTime = 5.0 // how long own dispatches count towards what a batch is like on average
+	poolTime    = 1.5 // and reports towards what engines hold on average
 	overdue     = 2.0 // times the usual longest time
 	restartGain = 2.0 // a dispatch starts over when that looks so many times quicker
 )
@@ -135,7 +136,7 @@
 		}
 		if e.started != e.StartedAt { // what was learned of the process before is void
 			e.started, e.asideUntil, e.backoff = e.StartedAt, 0, 0
-			e.good, e.bad, e.reportAt = 0, 0, 0
+			e.good, e.bad, e.reportAt, e.told = 0, 0, 0, amount{}
 		}
 		if !slices.Contains(r.engines, e) {
 			r.engines = append(r.engines, e)
@@ -316,9 +317,27 @@
 }
 
 func (r *Router) heard(e *Engine, rep *Report) {
-	if rep != nil && clean(*rep) != e.report { // the same figures again are the same report, or frozen
-		e.report, e.reportAt = clean(*rep), r.now
+	if rep == nil || clean(*rep) == e.report { // the same figures again are the same report, or frozen
+		return
+	}
+	e.report, e.reportAt = clean(*rep), r.now
+	// What a report leaves out is told by the rest and by what our batches out are like on average.
+	held, memory := e.report.Held, e.report.Memory*e.memory/r.generous
+	each := amount{max(r.out.batches, 0.1), max(r.out.threads, 0.1), r.out.memory}
+	if held < 0 && memory >= 0 && each.memory > 0 {
+		held = memory * each.batches / each.memory
+	}
+	if memory < 0 {
+		memory = 0 // left to the engine: judged by threads alone, far more is pushed back than waits there
+	}
+	if held < 0 {
+		return
 	}
+	e.told = amount{1, held * each.threads / each.batches / e.cores, memory / max(e.memory, 1)}
+	part := max(min((r.now-r.commonAt)/poolTime, 1), 0.03)
+	r.commonAt = r.now
+	r.common.threads += (min(e.told.threads, 2*mostMark) - r.common.threads) * part // one that lies stays one
+	r.common.memory += (min(e.told.memory, 1) - r.common.memory) * part
 }
 
 // clean leaves only figures that an engine can mean.
@@ -427,18 +446,13 @@
 			r.next = append(r.next, r.giveUp(b))
 		}
 	}
-	sum, n := 0.0, 0.0
-	for _, g := range r.groups {
-		g.present *= 1 - passed/presentTime
-		sum, n = sum+(g.present+1)*g.Threads, n+g.present+1
-	}
-	r.meanThreads = sum / n
-	threads, cores, busy, told, ready, aside := 0.0, 0.0, 0.0, 0.0, 0, 0
+	var out amount
+	threads, cores, memory, busy, told, fresh, ready, aside := 0.0, 0.0, 0.0, 0.0, 0.0, 0.0, 0, 0
 	for _, e := range r.engines {
 		late := 0
 		for _, d := range e.outs {
 			g := d.batch.Group
-			g.present += passed / sweepEvery
+			out = amount{out.batches + 1, out.threads + d.threads, out.memory + d.memory}
 			age, usual := r.now-d.sent, d.batch.alone*g.stretch.quantile(0.95, 8)
 			if age > overdue*usual+0.2 && e.signAt < d.sent {
 				late++
@@ -458,7 +472,11 @@
 				aside++
 			}
 			cores += e.cores
-			threads += r.figure(e) * e.cores
+			memory += e.memory
+			threads += r.filled(e).threads * e.cores
+			if r.fresh(e) {
+				fresh++
+			}
 			if e.report.Busy >= 0 && e.reportAt > 0 {
 				busy, told = busy+e.report.Busy, told+1
 			}
@@ -468,6 +486,17 @@
 		r.shaken = shaken
 		r.log("%d of %d engines aside, shaken %t", aside, ready, shaken)
 	}
+	if ready > 0 {
+		r.alike = 1 + (r.routers-1)*fresh/float64(ready)
+	}
+	part := passed / presentTime
+	r.out.batches += (out.batches - r.out.batches) * part
+	r.out.threads += (out.threads - r.out.threads) * part
+	r.out.memory += (out.memory - r.out.memory) * part
+	if cores > 0 && r.now > r.commonAt+presentTime { // no report tells of others: they are taken to be like us
+		r.common.threads = (r.routers - 1) * r.out.threads / cores
+		r.common.memory = (r.routers - 1) * r.out.memory / max(memory, 1)
+	}
 	if cores > 0 {
 		seen := threads / cores
 		if told > 0 {
@@ -558,11 +587,13 @@
 			home, next = max(home, h), max(next, min(home, h))
 		}
 	}
-	for _, e := range r.engines {
+	first := int(r.draw() * float64(len(r.engines))) // ties fall apart, or all routers meet on one engine
+	for i := range r.engines {
+		e := r.engines[(first+i)%len(r.engines)]
 		if !r.allowed(b, e) || !r.fit(b, e) {
 			continue
 		}
-		f := r.figure(e)
+		f := r.filled(e).threads
 		if g := b.Group; g.Load || g.Waits {
 			// A load holds its data set on its engine; what waits for it stands still there with its memory.
 			if slices.ContainsFunc(e.outs, func(d *dispatch) bool {
@@ -570,7 +601,7 @@
 			}) {
 				f += blocked
 			}
-		} else if b.home(e) >= next {
+		} else if b.home(e) >= next && (r.routers <= 1 || r.fresh(e)) {
 			f -= homeBonus
 		}
 		if n := len(b.dispatches); n > 0 && b.dispatches[n-1].engine == e {
@@ -633,38 +664,39 @@
 	if e.memory <= 0 || b.memory <= 0 {
 		return true
 	}
-	own, since := e.sum(func(d *dispatch) float64 { return d.memory })
-	used := own * r.routers
-	if e.report.Memory >= 0 && e.reportAt > 0 && r.now < e.reportAt+reportStale {
-		used = max(own, e.report.Memory*e.memory/r.generous+since*r.routers)
-	}
+	used := r.filled(e).memory * e.memory
 	// A small batch may go where a heavy one may not: it needs room for some of its like, of which other
 	// routers may be sending one each, but never more than the share that counts as full leaves free.
 	need := min(b.memory*memorySpare, r.largestGrant*e.memory)
 	return used+min(memoryRoom*need, need+(1-memoryFull)*e.memory) <= e.memory
 }
 
-// sum adds up own dispatches out there, and those that its report can't hold yet.
-func (e *Engine) sum(of func(*dispatch) float64) (own, since float64) {
+// fresh tells whether an engine's report is still believed.
+func (r *Router) fresh(e *Engine) bool {
+	return e.told.batches > 0 && r.now < e.reportAt+reportStale
+}
+
+// filled is an engine's threads a core and its share of memory spoken for, by whom ever. Own threads stand in
+// for what no report tells, but one router of hundreds sees next to nothing of the rest: what others add is
+// pooled over the fleet and time, and an ageing report leans towards that pool. What was sent since a report
+// counts once for each router that is likely to act on the like of it: with few routers all fall on one engine
+// together. It hurts when one engine fills much faster than the fleet.
+func (r *Router) filled(e *Engine) amount {
+	var own, since amount
 	for _, d := range e.outs {
-		own += of(d)
+		own.threads, own.memory = own.threads+d.threads, own.memory+d.memory
 		if d.sent > e.reportAt-reportLag {
-			since += of(d)
+			since.threads, since.memory = since.threads+d.threads, since.memory+d.memory
 		}
 	}
-	return own, since
-}
-
-// figure is the engine's threads a core: the count reported and what was sent since, or own threads. Own ones
-// count once for each router: who counts only its own fills what others filled, and with late reports all
-// fall on one engine together. That is wrong where traffic is uneven; the mark then follows the answers.
-func (r *Router) figure(e *Engine) float64 {
-	own, since := e.sum(func(d *dispatch) float64 { return d.threads })
-	threads := own * r.routers
-	if e.report.Held >= 0 && e.reportAt > 0 && r.now < e.reportAt+reportStale {
-		threads = max(own, e.report.Held*r.meanThreads+since*r.routers)
+	cores, memory := e.cores, max(e.memory, 1)
+	if !r.fresh(e) {
+		return amount{0, r.common.threads + own.threads/cores, r.common.memory + own.memory/memory}
 	}
-	return threads / e.cores
+	old := (r.now - e.reportAt) / reportStale
+	return amount{0,
+		max(own.threads/cores, e.told.threads+(r.common.threads-e.told.threads)*old+since.threads*r.alike/cores),
+		max(own.memory/memory, e.told.memory+(r.common.memory-e.told.memory)*old+since.memory*r.alike/memory)}
 }
 
 // send books a dispatch; its terms go first.
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -59,20 +59,38 @@
 	assert.InDelta(t, 100+(redrawLeast+redrawMost)/2, h.gateAt, (redrawMost-redrawLeast)/2+1e-9)
 }
 
-func TestOwnThreadsTimesRoutersStandInForTheHeldCount(t *testing.T) {
+func TestOneOwnBatchAmongHundredsOfRoutersIsNoFullEngine(t *testing.T) {
+	s := settings(lookups())
+	s.Routers = 200
+	h, list := newHost(t, s, 40)
+	h.take(nil)
+	h.pass(0.5)
+	own := h.of(Dispatch, nil)[0].Engine
+	assert.Less(t, h.filled(own).threads, 3.0, "others are like us on average, over the fleet")
+	assert.Less(t, h.filled(own).threads-h.filled(list[39]).threads, 0.2)
+	for _, e := range list[:10] {
+		h.report(e, 16)
+	}
+	assert.InDelta(t, 2.0, h.common.threads, 0.5)
+	assert.InDelta(t, h.common.threads, h.filled(list[20]).threads, 0.2, "what was not asked holds what others hold")
+	h.report(list[3], 2)
+	assert.Less(t, h.filled(list[3]).threads, 0.5)
+	h.pass(1.9)
+	assert.InDelta(t, h.common.threads, h.filled(list[3]).threads, 0.2, "an old report leans to the pool")
+}
+
+func TestSentSinceAReportCountsForAllWhoActOnIt(t *testing.T) {
 	s := settings(lookups())
 	s.Routers = 4
 	h, list := newHost(t, s, 1)
-	for range 4 {
-		h.take(nil)
-	}
-	assert.InDelta(t, 4*4.0/8, h.figure(list[0]), 1e-9)
 	h.report(list[0], 6)
-	assert.InDelta(t, (6+4*4.0)/8, h.figure(list[0]), 1e-9, "a report's count and the threads sent since")
-	h.now += reportStale + 1
-	h.Clock(h.now)
+	h.pass(0.2)
+	h.take(nil)
+	h.pass(0.3)
+	assert.InDelta(t, (6+4)/8.0, h.filled(list[0]).threads, 0.1)
+	h.pass(2)
 	h.report(list[0], 6)
-	assert.InDelta(t, 2.0, h.figure(list[0]), 1e-9, "frozen reports are not believed")
+	assert.False(t, h.fresh(list[0]), "frozen reports are not believed")
 }
 
 func TestMarkFollowsTheStretchOfAnswers(t *testing.T) {
@@ -262,7 +280,7 @@
 		h.Outcome(b, 9, Returned, true, 1, 1, 1, nil)
 	}
 	h.pass(2)
-	require.False(t, math.IsNaN(h.mark+h.load+h.meanDemand+h.figure(list[0])))
+	require.False(t, math.IsNaN(h.mark+h.load+h.meanDemand+h.filled(list[0]).threads))
 	assert.Equal(t, -1.0, clean(Report{Held: math.NaN()}).Held)
 	assert.Equal(t, 1e4, clean(Report{Held: math.Inf(1)}).Held)
 }
--- a/brain/types.go
+++ b/brain/types.go
@@ -194,7 +194,6 @@
 	work, count                float64 // sum of true work, and of how many
 	memTold, memNeeded, memory float64 // the same for memory, and its plain sum
 	stretch                    histogram
-	present                    float64 // dispatches out, summed over the last sweeps
 }
 
 type engineState struct {
@@ -208,6 +207,7 @@
 	asideAt, started    float64
 	good, bad           float64 // endings, halved from time to time
 	sends               []spend
+	told                amount // by the report: threads a core, share of memory
 }
 
 type batchState struct {
@@ -229,6 +229,9 @@
 	ended, cancel bool
 }
 
+// amount is how much some batches take: their number, threads and memory, or the last two against an engine's.
+type amount struct{ batches, threads, memory float64 }
+
 type spend struct{ at, work float64 }
 
 // lane is the line of the batches of one key.
@@ -264,21 +267,25 @@
 	freeFurther, further   float64
 	furtherWindow          float64
 
-	now, started      float64
-	random            uint64
-	engines           []*Engine
-	held              []*Batch // by demand, the smallest first
-	takes             []float64
-	furthers          []float64
-	lanes             map[uint64]*lane
-	load, meanThreads float64
-	mark              float64
-	meanDemand        float64
-	gateAt            float64 // the gate stays shut until then
-	swept, sweepAt    float64
-	shaken            bool // most engines are set aside
-	next              []Decision
-	probeCredit       float64
-	wakeAt            float64
-	asked             bool
+	now, started   float64
+	random         uint64
+	engines        []*Engine
+	held           []*Batch // by demand, the smallest first
+	takes          []float64
+	furthers       []float64
+	lanes          map[uint64]*lane
+	load           float64
+	out            amount  // own dispatches out, lately
+	common         amount  // what an engine holds on average
+	commonAt       float64 // when a report last told of that
+	alike          float64 // routers that are likely to act on the like of a report of ours
+	mark           float64
+	meanDemand     float64
+	gateAt         float64 // the gate stays shut until then
+	swept, sweepAt float64
+	shaken         bool // most engines are set aside
+	next           []Decision
+	probeCredit    float64
+	wakeAt         float64
+	asked          bool
 }
