Probes start at an engine drawn by chance, not at the list's first

Cause: every router probed the list in its order, so at full size all had the same engine as their only report, took it for the emptiest and sent there (busiest engine at 4.8 times the mean in the first seconds of big-1).

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -746,7 +746,9 @@
 		return nil
 	}
 	var oldest *Engine
-	for _, e := range r.engines {
+	first := int(r.draw() * float64(len(r.engines))) // not all routers ask the same one
+	for i := range r.engines {
+		e := r.engines[(first+i)%len(r.engines)]
 		due := e.Phase == Ready && !e.probing && r.now > e.probedAt+probeRest
 		if due && (oldest == nil || e.probedAt < oldest.probedAt) {
 			oldest = e
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -345,3 +345,18 @@
 	assert.InDelta(t, memorySpare*1000, grant(LineUp), 1e-6)
 	assert.InDelta(t, memorySpare*generous*1000, grant(Overcommit), 1e-6)
 }
+
+func TestRoutersDoNotAllMeetOnTheFirstOfTheList(t *testing.T) {
+	probed, sent := map[uint32]bool{}, map[uint32]bool{}
+	for seed := range 8 {
+		s := settings(lookups())
+		s.Routers, s.MayProbe = 200, true
+		h, _ := newHost(t, s, 40)
+		h.random = uint64(seed+1) << 20
+		h.draw()
+		sent[h.of(Dispatch, h.take(nil))[0].Engine.ID] = true
+		probed[h.of(Probe, nil)[0].Engine.ID] = true
+	}
+	assert.Greater(t, len(sent), 4)
+	assert.Greater(t, len(probed), 4)
+}
