--- a/brain/brain.go
+++ b/brain/brain.go
@@ -44,6 +44,7 @@
 	asideMost   = 8.0
 	trust       = 2.0 // times the estimate must fit in the time left, else a batch is given up
 	sweepEvery  = 0.05
+	standstill  = 0.2 // woken so much too late, a router has stood still
 	mostTries   = 16  // batches without a fitting engine that one pull looks at
 	presentTime = 5.0 // how long own dispatches count towards what a batch is like on average
 	poolTime    = 1.5 // and reports towards what engines hold on average
@@ -120,7 +121,19 @@
 }
 
 // Clock tells the time; calls until the next one are at this time.
-func (r *Router) Clock(now float64) { r.now = max(r.now, now) }
+func (r *Router) Clock(now float64) {
+	r.now = max(r.now, now)
+	// Woken far too late we stood still ourselves: silence meanwhile was ours, and what comes now is old.
+	if late := r.now - r.wakeAt; late > standstill && r.stoodAt < r.now {
+		r.stood, r.stoodAt = late, r.now
+		r.log("stood still for %.1f s, %d held", late, len(r.held))
+		for _, e := range r.engines {
+			for _, d := range e.outs {
+				d.still += late
+			}
+		}
+	}
+}
 
 // Listed brings the list of engines: the whole of it, or what changed.
 func (r *Router) Listed(list []*Engine, whole bool) {
@@ -265,6 +278,9 @@
 	g.work, g.memory, g.count = g.work+work, g.memory+memory, g.count+1
 	// The mark is the threads a core at which answers take about so long: figures that leave out other
 	// routers' threads, spilling, busy disks and slow cores all show there. It only rises while batches wait.
+	if r.stoodAt == r.now { // how long it took is not known
+		return
+	}
 	if step := math.Log(goodStretch * work / (g.Threads * max(took, 1e-3))); step < 0 || len(r.held) > 0 {
 		step = min(max(step, -1), 1) * min(2*work/max(r.meanDemand, 1e-3), 2)
 		r.mark = min(max(r.mark*(1+markStep*step), leastMark), mostMark)
@@ -321,6 +337,9 @@
 		return
 	}
 	e.report, e.reportAt = clean(*rep), r.now
+	if r.stoodAt == r.now {
+		e.reportAt -= r.stood / 2
+	}
 	// What a report leaves out is told by the rest and by what our batches out are like on average.
 	held, memory := e.report.Held, e.report.Memory*e.memory/r.generous
 	each := amount{max(r.out.batches, 0.1), max(r.out.threads, 0.1), r.out.memory}
@@ -453,7 +472,7 @@
 		for _, d := range e.outs {
 			g := d.batch.Group
 			out = amount{out.batches + 1, out.threads + d.threads, out.memory + d.memory}
-			age, usual := r.now-d.sent, d.batch.alone*g.stretch.quantile(0.95, 8)
+			age, usual := r.now-d.sent-d.still, d.batch.alone*g.stretch.quantile(0.95, 8)
 			if age > overdue*usual+0.2 && e.signAt < d.sent {
 				late++
 			}
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -360,3 +360,23 @@
 	assert.Greater(t, len(sent), 2)
 	assert.Greater(t, len(probed), 2)
 }
+
+func TestOwnStandstillIsNotHeldAgainstEngines(t *testing.T) {
+	h, list := newHost(t, settings(lookups()), 1)
+	for range 4 {
+		h.take(nil)
+	}
+	before := h.mark
+	h.now += 2.5 // nobody woke the router meanwhile; what came then is told now
+	h.Clock(h.now)
+	for _, d := range list[0].outs[:2] {
+		h.Outcome(d.batch, 0, Returned, true, 2.5, 0.1, 0, &Report{Held: 2, Waiting: -1, Busy: -1, Memory: -1, Disks: -1})
+	}
+	h.pull()
+	assert.Zero(t, list[0].asideUntil)
+	assert.Equal(t, before, h.mark)
+	assert.Less(t, list[0].reportAt, h.now-1, "what was told meanwhile is old")
+	assert.NotEmpty(t, h.of(Log, nil))
+	h.pass(2)
+	assert.Positive(t, list[0].asideUntil, "then it was silent")
+}
--- a/brain/types.go
+++ b/brain/types.go
@@ -226,6 +226,7 @@
 	sent, threads float64
 	memory, share float64 // share done, as last told
 	shareAt       float64
+	still         float64 // while this router stood still
 	ended, cancel bool
 }
 
@@ -275,6 +276,7 @@
 	furthers       []float64
 	lanes          map[uint64]*lane
 	load           float64
+	stood, stoodAt float64 // how long this router last stood still, and when it saw
 	out            amount  // own dispatches out, lately
 	common         amount  // what an engine holds on average
 	commonAt       float64 // when a report last told of that
