A few routers share a cold engine's budget, picked alike everywhere

Cause: the budget over hundreds of routers admits no batch at all, so what comes back cold stays idle for its cold time. Change: four routers, picked by engine, start and own number, have it all; the sum stays proven. A router that is not told its number or how many there are sends nothing to a cold engine.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -40,6 +40,7 @@
 	probeWorth  = 0.005 // of the result that probes may cost
 	probeRest   = 0.25  // between probes of one engine
 	coldShare   = 0.65  // part of the cold budget that is used; the rest is for estimates that lie
+	coldRouters = 4     // routers that share the cold budget of an engine
 	asideFirst  = 1.0   // an engine set aside is tried again after this, doubled each time
 	asideMost   = 8.0
 	trust       = 2.0 // times the estimate must fit in the time left, else a batch is given up
@@ -80,7 +81,7 @@
 
 // New starts a router. What decisions use of the settings is derived here, once.
 func New(s Settings, seed uint64, now float64) *Router {
-	r := &Router{groups: s.Groups, routers: max(float64(s.Routers), 1), coresByKind: s.CoresByKind,
+	r := &Router{groups: s.Groups, routers: max(float64(s.Routers), 1), index: s.Index, coresByKind: s.CoresByKind,
 		memoryByKind: s.MemoryByKind, grants: s.Grants, priorities: s.Priorities,
 		largestGrant: min(cmp.Or(max(s.LargestGrant, 0), 1), 1), mayCancel: s.MayCancel, mayProbe: s.MayProbe,
 		mustAsk: s.MustAsk, rationed: s.Rationed, most: max(s.MostDispatches, 1),
@@ -92,7 +93,10 @@
 	if r.grants && s.Shortage == Overcommit {
 		r.generous = generous
 	}
-	r.coldWork = coldShare * s.FallMultiple * s.ColdFrom * warmLoad * s.FallTime / r.routers
+	r.coldWork = coldShare * s.FallMultiple * s.ColdFrom * warmLoad * s.FallTime / min(r.routers, coldRouters)
+	if s.Routers < 1 {
+		r.index = -1 // nobody knows who else sends to a cold engine
+	}
 	if s.MayDefer {
 		r.comeBack = s.LongestDefer
 	}
@@ -635,7 +639,12 @@
 
 // home ranks engines for a data set alike at every router, so that what one has read stays warm for all.
 func (b *Batch) home(e *Engine) float64 {
-	h := (math.Float64bits(b.Tables)>>24+1)*0x9e3779b97f4a7c15 ^ uint64(e.ID)*0xc2b2ae3d27d4eb4f
+	return mix(math.Float64bits(b.Tables)>>24+1, uint64(e.ID))
+}
+
+// mix gives a number from 0 up to 1 that is the same at every router.
+func mix(a, b uint64) float64 {
+	h := a*0x9e3779b97f4a7c15 ^ b*0xc2b2ae3d27d4eb4f
 	h = (h ^ h>>29) * 0xbf58476d1ce4e5b9
 	return float64(h>>32) / (1 << 32)
 }
@@ -658,10 +667,13 @@
 	return e.StartedAt > 0 && r.now < e.StartedAt+r.coldTime+0.5
 }
 
-// coldRoom: our share of what may be sent to a cold engine in any window of the fall time. After our own
-// start nobody knows what we sent before, so the first window is taken as spent.
+// coldRoom: our share of what may be sent to a cold engine in any window of the fall time. A share of one in
+// hundreds admits no batch, so a few routers have it all, picked alike everywhere by engine, start and own
+// number. After our own start nobody knows what we sent before: the first window is taken as spent.
 func (r *Router) coldRoom(e *Engine, work float64) bool {
-	if r.now < r.started+r.fallTime {
+	first := int(mix(uint64(e.ID), math.Float64bits(e.StartedAt)) * r.routers)
+	n := int(r.routers)
+	if r.now < r.started+r.fallTime || r.index < 0 || r.index >= n || (r.index-first+n)%n >= coldRouters {
 		return false
 	}
 	budget := r.coldWork * e.cores
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -378,3 +378,24 @@
 	assert.Less(t, list[0].reportAt, h.now-1, "what was told meanwhile is old")
 	assert.NotEmpty(t, h.of(Log, nil))
 }
+
+func TestFewRoutersShareAColdEngineAndTheirSumStaysInItsBudget(t *testing.T) {
+	sum, sharers := 0.0, 0
+	for i := range 200 {
+		s := settings(lookups())
+		s.Routers, s.Index = 200, i
+		h, list := newHost(t, s, 1)
+		list[0].StartedAt = 99.5
+		h.Listed(list, true)
+		h.pass(s.FallTime)
+		for range 100 {
+			h.take(nil)
+		}
+		if n := len(h.of(Dispatch, nil)); n > 0 {
+			sum, sharers = sum+0.1*float64(n), sharers+1
+		}
+	}
+	assert.Equal(t, coldRouters, sharers)
+	assert.LessOrEqual(t, sum, 2*0.4*0.85*8*1)
+	assert.Greater(t, sum, 0.25*2*0.4*0.85*8*1)
+}
--- a/brain/types.go
+++ b/brain/types.go
@@ -59,6 +59,7 @@
 // Settings is what a router is told at its start. Times are seconds.
 type Settings struct {
 	Routers        int
+	Index          int // own number among them, from 0; below 0: not told
 	Zone           int
 	Groups         []*ServiceGroup
 	Clients        []Client
@@ -253,6 +254,7 @@
 type Router struct {
 	groups                 []*ServiceGroup
 	routers                float64
+	index                  int
 	coresByKind            []float64
 	memoryByKind           []float64
 	largestGrant, generous float64
--- a/cmd/simhost/settings.go
+++ b/cmd/simhost/settings.go
@@ -12,6 +12,7 @@
 type options struct {
 	Zone      int    `json:"az"`
 	Balancers int    `json:"balancers"`
+	Index     *int   `json:"index"`
 	Discovery string `json:"discovery"`
 	Grades    []struct {
 		Name        string   `json:"name"`
@@ -99,7 +100,11 @@
 	if len(o.Grades) == 0 {
 		return brain.Settings{}, nil, errors.New("settings: no grades")
 	}
-	s := brain.Settings{Routers: o.Balancers, Zone: o.Zone, OverShare: o.OverShare,
+	index := -1
+	if o.Index != nil {
+		index = *o.Index
+	}
+	s := brain.Settings{Routers: o.Balancers, Index: index, Zone: o.Zone, OverShare: o.OverShare,
 		CoresByKind: o.Specifics.Cores, MemoryByKind: o.Specifics.Memory, LargestGrant: o.Specifics.Largest,
 		Shortage: shortages[o.Specifics.Over], Grants: o.Specifics.Grants, Priorities: o.Specifics.Priority,
 		NotesEvery: o.Specifics.Pace / 1000, MayCancel: o.Limits.Cancel, MayProbe: o.Limits.Probe,
