What is out there told by the mix of arrivals; the pool follows over 4 s

Change: each taken batch counts for the mix by its time alone; the pool follows over 4 s instead of 1.5.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -48,7 +48,7 @@
 	standstill  = 0.2 // woken so much too late, a router has stood still
 	mostTries   = 16  // batches without a fitting engine that one pull looks at
 	presentTime = 5.0 // how long own dispatches count towards what a batch is like on average
-	poolTime    = 1.5 // and reports towards what engines hold on average
+	poolTime    = 4.0 // and reports towards what engines hold on average
 	overdue     = 2.0 // times the usual longest time
 	restartGain = 2.0 // a dispatch starts over when that looks so many times quicker
 )
@@ -102,6 +102,7 @@
 	}
 	for _, g := range s.Groups {
 		g.Threads = max(g.Threads, 1)
+		r.like.batches, r.like.threads = r.like.batches+1e-3, r.like.threads+1e-3*g.Threads
 	}
 	return r
 }
@@ -197,6 +198,10 @@
 		b.endAt = min(b.limitAt, r.now+g.Goal+g.GoalStretch*b.alone)
 	}
 	r.meanDemand += (b.demand - r.meanDemand) / 64
+	// A batch is at work in proportion to its time alone: that tells from the first batch on what is out there.
+	r.like.batches += b.alone - r.like.batches/64
+	r.like.threads += b.alone*g.Threads - r.like.threads/64
+	r.like.memory += b.alone*b.memory*memorySpare - r.like.memory/64
 	if g.InOrder && b.Key != 0 {
 		if b.lane = r.lanes[b.Key]; b.lane == nil {
 			b.lane = &lane{}
@@ -344,9 +349,9 @@
 	if r.stoodAt == r.now {
 		e.reportAt -= r.stood / 2
 	}
-	// What a report leaves out is told by the rest and by what our batches out are like on average.
+	// What a report leaves out is told by the rest and by what batches at work are like on average.
 	held, memory := e.report.Held, e.report.Memory*e.memory/r.generous
-	each := amount{max(r.out.batches, 0.1), max(r.out.threads, 0.1), r.out.memory}
+	each := r.like
 	if held < 0 && memory >= 0 && each.memory > 0 {
 		held = memory * each.batches / each.memory
 	}
@@ -475,7 +480,7 @@
 		late := 0
 		for _, d := range e.outs {
 			g := d.batch.Group
-			out = amount{out.batches + 1, out.threads + d.threads, out.memory + d.memory}
+			out = amount{0, out.threads + d.threads, out.memory + d.memory}
 			age, usual := r.now-d.sent-d.still, d.batch.alone*g.stretch.quantile(0.95, 8)
 			if age > overdue*usual+0.2 && e.signAt < d.sent {
 				late++
@@ -513,7 +518,6 @@
 		r.alike = 1 + (r.routers-1)*fresh/float64(ready)
 	}
 	part := passed / presentTime
-	r.out.batches += (out.batches - r.out.batches) * part
 	r.out.threads += (out.threads - r.out.threads) * part
 	r.out.memory += (out.memory - r.out.memory) * part
 	if cores > 0 && r.now > r.commonAt+presentTime { // no report tells of others: they are taken to be like us
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -399,3 +399,15 @@
 	assert.LessOrEqual(t, sum, 2*0.4*0.85*8*1)
 	assert.Greater(t, sum, 0.25*2*0.4*0.85*8*1)
 }
+
+func TestFirstReportsAfterAStartTellNoFullFleet(t *testing.T) {
+	s := settings(lookups())
+	s.Routers = 200
+	h, list := newHost(t, s, 20)
+	h.take(func(b *Batch) { b.Memory = 400 })
+	// Reports that lack the held count: the memory granted tells it, by what our first batch is like.
+	h.Probed(list[3], true, &Report{Held: -1, Waiting: -1, Busy: -1, Memory: 0.25, Disks: -1})
+	assert.InDelta(t, 1.0, h.common.threads, 0.2, "8 batches of 500 MB granted on 8 cores")
+	assert.Positive(t, h.common.memory)
+	assert.Len(t, h.of(Dispatch, h.take(nil)), 1)
+}
--- a/brain/types.go
+++ b/brain/types.go
@@ -280,6 +280,7 @@
 	load           float64
 	stood, stoodAt float64 // how long this router last stood still, and when it saw
 	out            amount  // own dispatches out, lately
+	like           amount  // what our batches are like, each by its time alone
 	common         amount  // what an engine holds on average
 	commonAt       float64 // when a report last told of that
 	alike          float64 // routers that are likely to act on the like of a report of ours
