--- a/brain/brain.go
+++ b/brain/brain.go
@@ -40,7 +40,7 @@
 	probeWorth  = 0.005 // of the result that probes may cost
 	probeRest   = 0.25  // between probes of one engine
 	coldShare   = 0.65  // part of the cold budget that is used; the rest is for estimates that lie
-	coldRouters = 4     // routers that share the cold budget of an engine
+	coldRouters = 16    // routers that share the cold budget of an engine
 	asideFirst  = 1.0   // an engine set aside is tried again after this, doubled each time
 	asideMost   = 8.0
 	trust       = 2.0 // times the estimate must fit in the time left, else a batch is given up
