Batches go among the engines that reports tell of; the others count as fuller than the pool

Cause: of 40 to 80 engines one router has fresh reports of a few. Change: without a believed report others' part counts as twice the pool's threads and eight times its memory.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -30,27 +30,29 @@
 	redrawLeast = 0.05
 	redrawMost  = 0.2
 
-	reportLag   = 0.4   // a report is about this old when it comes
-	reportStale = 2.0   // an unchanged report is no longer believed
-	memorySpare = 1.25  // grant over the corrected need
-	memoryFull  = 0.65  // share of an engine's memory that heavy batches may speak for: reports are late
-	memoryRoom  = 8.0   // batches of its like that must find room in an engine's memory before one is sent
-	generous    = 3.0   // times the grant, where only what is needed counts
-	warmLoad    = 0.85  // the busy share of the cores that counts as capacity
-	probeWorth  = 0.005 // of the result that probes may cost
-	probeRest   = 0.25  // between probes of one engine
-	coldShare   = 0.65  // part of the cold budget that is used; the rest is for estimates that lie
-	coldRouters = 16    // routers that share the cold budget of an engine
-	asideFirst  = 1.0   // an engine set aside is tried again after this, doubled each time
-	asideMost   = 8.0
-	trust       = 2.0 // times the estimate must fit in the time left, else a batch is given up
-	sweepEvery  = 0.05
-	standstill  = 0.2 // woken so much too late, a router has stood still
-	mostTries   = 16  // batches without a fitting engine that one pull looks at
-	presentTime = 5.0 // how long own dispatches count towards what a batch is like on average
-	poolTime    = 4.0 // and reports towards what engines hold on average
-	overdue     = 2.0 // times the usual longest time
-	restartGain = 2.0 // a dispatch starts over when that looks so many times quicker
+	reportLag    = 0.4 // a report is about this old when it comes
+	reportStale  = 2.0 // an unchanged report is no longer believed
+	blindThreads = 2.0 // an engine without a report counts as so many times as full as the pool
+	blindMemory  = 8.0
+	memorySpare  = 1.25  // grant over the corrected need
+	memoryFull   = 0.65  // share of an engine's memory that heavy batches may speak for: reports are late
+	memoryRoom   = 8.0   // batches of its like that must find room in an engine's memory before one is sent
+	generous     = 3.0   // times the grant, where only what is needed counts
+	warmLoad     = 0.85  // the busy share of the cores that counts as capacity
+	probeWorth   = 0.005 // of the result that probes may cost
+	probeRest    = 0.25  // between probes of one engine
+	coldShare    = 0.65  // part of the cold budget that is used; the rest is for estimates that lie
+	coldRouters  = 16    // routers that share the cold budget of an engine
+	asideFirst   = 1.0   // an engine set aside is tried again after this, doubled each time
+	asideMost    = 8.0
+	trust        = 2.0 // times the estimate must fit in the time left, else a batch is given up
+	sweepEvery   = 0.05
+	standstill   = 0.2 // woken so much too late, a router has stood still
+	mostTries    = 16  // batches without a fitting engine that one pull looks at
+	presentTime  = 5.0 // how long own dispatches count towards what a batch is like on average
+	poolTime     = 4.0 // and reports towards what engines hold on average
+	overdue      = 2.0 // times the usual longest time
+	restartGain  = 2.0 // a dispatch starts over when that looks so many times quicker
 )
 
 func (h *histogram) add(ratio float64) {
@@ -713,7 +715,8 @@
 
 // filled is an engine's threads a core and its share of memory spoken for, by whom ever. Own threads stand in
 // for what no report tells, but one router of hundreds sees next to nothing of the rest: what others add is
-// pooled over the fleet and time, and an ageing report leans towards that pool. What was sent since a report
+// pooled over the fleet and time, and an ageing report leans towards that pool. Engines differ widely: one without
+// a report counts as fuller than the pool, so that batches go among the few that reports tell of. What was sent since a report
 // counts once for each router that is likely to act on the like of it: with few routers all fall on one engine
 // together. It hurts when one engine fills much faster than the fleet.
 func (r *Router) filled(e *Engine) amount {
@@ -726,7 +729,9 @@
 	}
 	cores, memory := e.cores, max(e.memory, 1)
 	if !r.fresh(e) {
-		return amount{0, r.common.threads + own.threads/cores, r.common.memory + own.memory/memory}
+		others := 1 - 1/r.routers
+		return amount{0, blindThreads*others*r.common.threads + own.threads/cores,
+			blindMemory*others*r.common.memory + own.memory/memory}
 	}
 	old := (r.now - e.reportAt) / reportStale
 	return amount{0,
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -72,7 +72,8 @@
 		h.report(e, 16)
 	}
 	assert.InDelta(t, 2.0, h.common.threads, 0.5)
-	assert.InDelta(t, h.common.threads, h.filled(list[20]).threads, 0.2, "what was not asked holds what others hold")
+	assert.Greater(t, h.filled(list[20]).threads, h.common.threads, "what was not asked counts as fuller than most")
+	assert.Contains(t, list[:10], h.of(Dispatch, h.take(nil))[0].Engine, "so batches go among the few that were")
 	h.report(list[3], 2)
 	assert.Less(t, h.filled(list[3]).threads, 0.5)
 	h.pass(1.9)
