--- a/brain/brain.go
+++ b/brain/brain.go
@@ -31,7 +31,7 @@
 	redrawMost  = 0.2
 
 	reportLag    = 0.4 // a report is about this old when it comes
-	reportStale = 1.4 // an unchanged report is no longer believed
+	reportStale  = 1.4 // an unchanged report is no longer believed
 	blindThreads = 2.0 // an engine without a report counts as so many times as full as the pool
 	blindMemory  = 8.0
 	memorySpare  = 1.25  // grant over the corrected need
