--- a/brain/brain.go
+++ b/brain/brain.go
@@ -16,43 +16,38 @@
 
 // The design's values (ours to tune) and those of what it leaves open. Times are seconds.
 const (
-	firstMark   = 1.5 // threads a core below which a batch starts; then it follows the stretch of answers
-	leastMark   = 0.4
-	mostMark    = 4.0
-	markStep    = 0.02
-	goodStretch = 1.5  // time over time alone of answers from engines that are full but not crowded
-	blocked     = 2.0  // threads a core that a load on the same data set counts for
-	homeBonus   = 0.4  // threads a core that a likely warm data set is worth
-	slowLimit   = 4    // slow batches that may wait before the most slowed leaves
-	firstLoad   = 0.9  // load until something is seen
-	mostLoad    = 0.95 // clamp of the load
-	loadTime    = 2.0  // how fast the load follows
-	redrawLeast = 0.05
-	redrawMost  = 0.2
-
-	reportLag    = 0.4 // a report is about this old when it comes
-	reportStale  = 1.4 // an unchanged report is no longer believed
-	blindThreads = 2.0 // an engine without a report counts as so many times as full as the pool
-	blindMemory  = 8.0
+	firstMark, leastMark, mostMark = 1.5, 0.4, 4.0 // threads a core below which a batch starts
+
+	markStep, goodStretch = 0.02, 1.5 // it follows answers to this time over time alone: full, not crowded
+	blocked               = 2.0       // threads a core that a load on the same data set counts for
+	homeBonus, homes      = 0.4, 2    // threads a core that a likely warm data set is worth, on so many engines
+	slowLimit             = 4         // slow batches that may wait before the most slowed leaves
+	firstLoad, mostLoad   = 0.9, 0.95 // load until something is seen, and its clamp
+	loadTime              = 2.0       // how fast the load follows
+
+	redrawLeast, redrawMost   = 0.05, 0.2
+	reportLag, reportStale    = 0.4, 1.4 // a report is about this old when it comes; then believed for so long
+	blindThreads, blindMemory = 2.0, 8.0 // an engine without one counts as so many times as full as the pool
+	poolTime                  = 4.0      // how long reports count towards that
+	presentTime               = 5.0      // and own dispatches where no report tells
+
 	memorySpare  = 1.25  // grant over the corrected need
 	memoryFull   = 0.65  // share of an engine's memory that heavy batches may speak for: reports are late
 	memoryRoom   = 8.0   // batches of its like that must find room in an engine's memory before one is sent
-	generous     = 3.0   // times the grant, where only what is needed counts
+	generousness = 3.0   // times the grant, where only what is needed counts
 	warmLoad     = 0.85  // the busy share of the cores that counts as capacity
 	probeWorth   = 0.005 // of the result that probes may cost
 	probeRest    = 0.25  // between probes of one engine
 	coldShare    = 0.65  // part of the cold budget that is used; the rest is for estimates that lie
 	coldRouters  = 16    // routers that share the cold budget of an engine
-	asideFirst   = 1.0   // an engine set aside is tried again after this, doubled each time
-	asideMost    = 8.0
-	trust        = 2.0 // times the estimate must fit in the time left, else a batch is given up
-	sweepEvery   = 0.05
-	standstill   = 0.2 // woken so much too late, a router has stood still
-	mostTries    = 16  // batches without a fitting engine that one pull looks at
-	presentTime  = 5.0 // how long own dispatches count towards what a batch is like on average
-	poolTime     = 4.0 // and reports towards what engines hold on average
-	overdue      = 2.0 // times the usual longest time
-	restartGain  = 2.0 // a dispatch starts over when that looks so many times quicker
+
+	asideFirst, asideMost = 1.0, 8.0 // an engine set aside is tried again after this, doubled each time
+	trust                 = 2.0      // times the estimate must fit in the time left, else a batch is given up
+	sweepEvery            = 0.05
+	standstill            = 0.2 // woken so much too late, a router has stood still
+	mostTries             = 16  // batches without a fitting engine that one pull looks at
+	overdue               = 2.0 // times the usual longest time
+	restartGain           = 2.0 // a dispatch starts over when that looks so many times quicker
 )
 
 func (h *histogram) add(ratio float64) {
@@ -83,21 +78,20 @@
 
 // New starts a router. What decisions use of the settings is derived here, once.
 func New(s Settings, seed uint64, now float64) *Router {
-	r := &Router{groups: s.Groups, routers: max(float64(s.Routers), 1), index: s.Index, coresByKind: s.CoresByKind,
-		memoryByKind: s.MemoryByKind, grants: s.Grants, priorities: s.Priorities,
+	r := &Router{groups: s.Groups, routers: max(float64(s.Routers), 1), index: s.Index, kinds: s.EngineKinds,
+		grants: s.Grants, priorities: s.Priorities,
 		largestGrant: min(cmp.Or(max(s.LargestGrant, 0), 1), 1), mayCancel: s.MayCancel, mayProbe: s.MayProbe,
 		mustAsk: s.MustAsk, rationed: s.Rationed, most: max(s.MostDispatches, 1),
-		probeEvery: min(max(s.ProbePrice/probeWorth, 1), 16), coldFrom: s.ColdFrom, coldTime: s.ColdTime,
+		probeEvery: min(max(s.ProbePrice/probeWorth, 1), 16), coldTime: s.ColdTime,
 		fallTime: s.FallTime, settle: s.SettleTime, tick: s.Tick, freeFurther: s.FreeFurther,
 		further: s.FurtherShare, furtherWindow: s.FurtherWindow, now: now, started: now,
 		random: seed&0xffffffff | 1<<33, lanes: map[uint64]*lane{}, load: firstLoad, mark: firstMark,
 		generous: 1, swept: now, sweepAt: now, wakeAt: math.Inf(1)}
 	if r.grants && s.Shortage == Overcommit {
-		r.generous = generous
+		r.generous = generousness
 	}
-	r.coldWork = coldShare * s.FallMultiple * s.ColdFrom * warmLoad * s.FallTime / min(r.routers, coldRouters)
-	if s.Routers < 1 {
-		r.index = -1 // nobody knows who else sends to a cold engine
+	if s.Routers > 0 { // else nobody knows how many others send to a cold engine
+		r.coldWork = coldShare * s.FallMultiple * s.ColdFrom * warmLoad * s.FallTime / min(r.routers, coldRouters)
 	}
 	if s.MayDefer {
 		r.comeBack = s.LongestDefer
@@ -109,7 +103,6 @@
 	return r
 }
 
-// draw gives a number from 0 to 1 by multiply with carry.
 func (r *Router) draw() float64 {
 	r.random = 4294957665*(r.random&0xffffffff) + r.random>>32
 	return float64(r.random&0xffffffff) / (1 << 32)
@@ -119,7 +112,15 @@
 	r.next = append(r.next, Decision{Kind: Log, Text: fmt.Sprintf(format, args...)})
 }
 
-// sane keeps missing, infinite and absurd figures out.
+func (a amount) add(b amount, times float64) amount {
+	return amount{a.batches + times*b.batches, a.threads + times*b.threads, a.memory + times*b.memory}
+}
+
+// per gives the amount as threads a core and as share of the memory of an engine.
+func (a amount) per(e *Engine) amount {
+	return amount{a.batches, a.threads / e.cores, a.memory / max(e.memory, 1)}
+}
+
 func sane(v, most float64) float64 {
 	if !(v > 0) {
 		return 0
@@ -127,18 +128,12 @@
 	return min(v, most)
 }
 
-// Clock tells the time; calls until the next one are at this time.
 func (r *Router) Clock(now float64) {
 	r.now = max(r.now, now)
 	// Woken far too late we stood still ourselves: silence meanwhile was ours, and what comes now is old.
 	if late := r.now - r.wakeAt; late > standstill && r.stoodAt < r.now {
-		r.stood, r.stoodAt = late, r.now
+		r.stood, r.stoodAt, r.still = late, r.now, r.still+late
 		r.log("stood still for %.1f s, %d held", late, len(r.held))
-		for _, e := range r.engines {
-			for _, d := range e.outs {
-				d.still += late
-			}
-		}
 	}
 }
 
@@ -147,11 +142,8 @@
 	for _, e := range list {
 		if e.cores == 0 {
 			e.cores, e.started = 1, e.StartedAt
-			if e.Kind < len(r.coresByKind) {
-				e.cores = max(r.coresByKind[e.Kind], 1)
-			}
-			if e.Kind < len(r.memoryByKind) {
-				e.memory = r.memoryByKind[e.Kind]
+			if e.Kind < len(r.kinds) {
+				e.cores, e.memory = max(r.kinds[e.Kind].Cores, 1), r.kinds[e.Kind].Memory
 			}
 		}
 		if e.started != e.StartedAt { // what was learned of the process before is void
@@ -159,22 +151,19 @@
 			e.good, e.bad, e.reportAt, e.told = 0, 0, 0, amount{}
 		}
 		if !slices.Contains(r.engines, e) {
-			r.engines = append(r.engines, e)
+			// Each router keeps an order of its own: ties fall apart, or all meet on the first of the list.
+			r.engines = slices.Insert(r.engines, int(r.draw()*float64(len(r.engines)+1)), e)
 		}
 	}
-	if whole {
-		for _, e := range r.engines {
-			if !slices.Contains(list, e) {
-				e.Phase = Gone
-			}
+	r.engines = slices.DeleteFunc(r.engines, func(e *Engine) bool {
+		if whole && !slices.Contains(list, e) {
+			e.Phase = Gone
 		}
-	}
-	over := func(e *Engine) bool { return e.Phase == Gone && len(e.outs) == 0 }
-	r.engines = slices.DeleteFunc(r.engines, over)
+		return e.Phase == Gone && len(e.outs) == 0
+	})
 }
 
-// ListFailed says that asking for the list failed.
-func (r *Router) ListFailed() { r.asked = false }
+func (r *Router) ListFailed() { r.mustAsk = true }
 
 // Take brings a batch, which is owed one final answer from now on.
 func (r *Router) Take(b *Batch) {
@@ -182,10 +171,9 @@
 	b.taken, b.limitAt = r.now, r.now+sane(b.Left, 1e6)-r.tick
 	b.demand = sane(b.Cost, 1e5)
 	if b.demand > 0 {
-		b.demand *= (g.needed + 4*g.told/max(g.seen, 1) + 1e-6) / (g.told + 4*g.told/max(g.seen, 1) + 1e-6)
-	} else if g.count > 0 {
-		b.demand = g.work / g.count
-	} else {
+		four := 4*g.told/max(g.seen, 1) + 1e-6
+		b.demand *= (g.needed + four) / (g.told + four)
+	} else if b.demand = g.work / max(g.count, 1); b.demand == 0 {
 		b.demand = g.Goal * g.Threads / 4
 	}
 	b.memory = sane(b.Memory, 1e7)
@@ -201,9 +189,7 @@
 	}
 	r.meanDemand += (b.demand - r.meanDemand) / 64
 	// A batch is at work in proportion to its time alone: that tells from the first batch on what is out there.
-	r.like.batches += b.alone - r.like.batches/64
-	r.like.threads += b.alone*g.Threads - r.like.threads/64
-	r.like.memory += b.alone*b.memory*memorySpare - r.like.memory/64
+	r.like = r.like.add(r.like, -1.0/64).add(amount{1, g.Threads, b.memory * memorySpare}, b.alone)
 	if g.InOrder && b.Key != 0 {
 		if b.lane = r.lanes[b.Key]; b.lane == nil {
 			b.lane = &lane{}
@@ -224,24 +210,18 @@
 	r.held = slices.Insert(r.held, i, b)
 }
 
-func (r *Router) unhold(b *Batch) {
-	if i := slices.Index(r.held, b); i >= 0 {
-		r.held = slices.Delete(r.held, i, i+1)
-	}
+func without[T comparable](list []T, one T) []T {
+	return slices.DeleteFunc(list, func(t T) bool { return t == one })
 }
 
-// over ends a batch: nothing is sent for it any more.
 func (r *Router) over(b *Batch) {
 	b.Over = true
-	r.unhold(b)
-	if l := b.lane; l != nil {
-		if i := slices.Index(l.line, b); i >= 0 {
-			l.line = slices.Delete(l.line, i, i+1)
-		}
+	r.held = without(r.held, b)
+	if b.lane != nil {
+		b.lane.line = without(b.lane.line, b)
 	}
 }
 
-// Left says that the client has gone.
 func (r *Router) Left(b *Batch) { r.over(b) }
 
 // Outcome ends a dispatch; last says that the batch is over with it. Work and memory are what it needed.
@@ -252,7 +232,7 @@
 	d, e := b.dispatches[no], b.dispatches[no].engine
 	d.ended = true
 	b.Out--
-	e.outs = slices.DeleteFunc(e.outs, func(o *dispatch) bool { return o == d })
+	e.outs = without(e.outs, d)
 	r.heard(e, rep)
 	doubt := end == TimedOut || end == Broken || end == Withdrawn
 	if l := b.lane; l != nil {
@@ -277,7 +257,6 @@
 	}
 }
 
-// learn keeps what an answer tells of its service group.
 func (r *Router) learn(b *Batch, took, work, memory float64) {
 	g := b.Group
 	if b.Cost > 0 && b.Cost < 1e5 {
@@ -335,10 +314,8 @@
 	r.log("engine %d aside for %.1f s: %s, good %.0f bad %.0f", e.ID, e.backoff, why, e.good, e.bad)
 }
 
-// Probed ends a probe.
 func (r *Router) Probed(e *Engine, ok bool, rep *Report) {
-	e.probing = false
-	if ok {
+	if e.probing = false; ok {
 		r.heard(e, rep)
 	}
 }
@@ -351,26 +328,21 @@
 	if r.stoodAt == r.now {
 		e.reportAt -= r.stood / 2
 	}
-	// What a report leaves out is told by the rest and by what batches at work are like on average.
-	held, memory := e.report.Held, e.report.Memory*e.memory/r.generous
-	each := r.like
-	if held < 0 && memory >= 0 && each.memory > 0 {
+	// A held count left out is told by memory and what batches at work are like. Memory left out stays with the
+	// engine: guessed from the count, far more is pushed back than would wait there.
+	held, memory, each := e.report.Held, max(e.report.Memory, 0)*e.memory/r.generous, r.like
+	if held < 0 && e.report.Memory >= 0 && each.memory > 0 {
 		held = memory * each.batches / each.memory
 	}
-	if memory < 0 {
-		memory = 0 // left to the engine: judged by threads alone, far more is pushed back than waits there
-	}
 	if held < 0 {
 		return
 	}
-	e.told = amount{1, held * each.threads / each.batches / e.cores, memory / max(e.memory, 1)}
-	part := max(min((r.now-r.commonAt)/poolTime, 1), 0.03)
+	e.told = amount{1, held * each.threads / each.batches, memory}.per(e)
+	one := amount{1, min(e.told.threads, 2*mostMark), min(e.told.memory, 1)} // one that lies stays one
+	r.common = r.common.add(one.add(r.common, -1), max(min((r.now-r.commonAt)/poolTime, 1), 0.03))
 	r.commonAt = r.now
-	r.common.threads += (min(e.told.threads, 2*mostMark) - r.common.threads) * part // one that lies stays one
-	r.common.memory += (min(e.told.memory, 1) - r.common.memory) * part
 }
 
-// clean leaves only figures that an engine can mean.
 func clean(rep Report) Report {
 	for _, v := range []*float64{&rep.Held, &rep.Waiting, &rep.Busy, &rep.Memory, &rep.Disks} {
 		if *v = min(*v, 1e4); !(*v >= 0) {
@@ -380,7 +352,6 @@
 	return rep
 }
 
-// News tells of a dispatch that is out.
 func (r *Router) News(b *Batch, no int, kind Note, level float64) {
 	if no >= len(b.dispatches) || b.dispatches[no].ended {
 		return
@@ -392,10 +363,8 @@
 	}
 }
 
-// Woken says that the time asked for has come.
 func (r *Router) Woken() { r.wakeAt = math.Inf(1) }
 
-// Next gives the next decision.
 func (r *Router) Next() Decision {
 	if r.now >= r.sweepAt {
 		r.sweep()
@@ -416,14 +385,12 @@
 }
 
 func (r *Router) wake() Decision {
-	at := math.Inf(1)
-	if len(r.held) > 0 || slices.ContainsFunc(r.engines, func(e *Engine) bool { return len(e.outs) > 0 }) {
-		at = r.now + 2*sweepEvery
-	}
+	at := r.now + 2*sweepEvery
 	if len(r.held) > 0 && r.gateAt > r.now {
 		at = min(at, r.gateAt)
 	}
-	if at >= r.wakeAt && r.wakeAt > r.now || math.IsInf(at, 1) {
+	busy := len(r.held) > 0 || slices.ContainsFunc(r.engines, func(e *Engine) bool { return len(e.outs) > 0 })
+	if !busy || at >= r.wakeAt && r.wakeAt > r.now {
 		return Decision{}
 	}
 	r.wakeAt = at
@@ -433,30 +400,26 @@
 // giveUp answers a batch for good, at once. A pushback is a promise that nothing ran or a repeat is harmless.
 func (r *Router) giveUp(b *Batch) Decision {
 	r.over(b)
-	g := b.Group
-	if b.bound == nil || g.Effect == Repeatable ||
-		g.Effect == Referenced && g.Scope == WithinAll && r.now+r.comeBack < b.boundAt+g.Window {
+	all := b.bound == nil || b.Group.Effect == Repeatable || b.Group.Scope == WithinAll
+	if all && r.harmless(b, r.comeBack) {
 		return Decision{Kind: PushBack, Batch: b, Wait: r.comeBack}
 	}
 	return Decision{Kind: Fail, Batch: b}
 }
 
-// again tells whether a batch may be dispatched once more.
 func (r *Router) again(b *Batch) bool {
-	if len(b.dispatches) >= r.most || b.Out > 0 {
-		return false
-	}
-	g := b.Group
-	return b.bound == nil || g.Effect == Repeatable ||
-		g.Effect == Referenced && r.now < b.boundAt+g.Window-r.tick
+	return len(b.dispatches) < r.most && b.Out == 0 && r.harmless(b, r.tick)
+}
+
+// harmless: nothing ran, or a repeat may run so much later.
+func (r *Router) harmless(b *Batch, later float64) bool {
+	return b.bound == nil || b.Group.Effect == Repeatable ||
+		b.Group.Effect == Referenced && r.now+later < b.boundAt+b.Group.Window
 }
 
-// spent tells whether the budget of further dispatches is spent for now.
 func (r *Router) spent() bool {
-	since := func(list []float64) []float64 {
-		return list[sort.Search(len(list), func(i int) bool { return list[i] > r.now-r.furtherWindow }):]
-	}
-	r.takes, r.furthers = since(r.takes), since(r.furthers)
+	old := func(at float64) bool { return at <= r.now-r.furtherWindow }
+	r.takes, r.furthers = slices.DeleteFunc(r.takes, old), slices.DeleteFunc(r.furthers, old)
 	return float64(len(r.furthers)+1) > r.freeFurther+r.further*float64(len(r.takes))
 }
 
@@ -467,12 +430,12 @@
 	})
 	passed := min(r.now-r.swept, 1)
 	r.swept, r.sweepAt = r.now, r.now+sweepEvery
-	if r.mustAsk && !r.asked {
-		r.asked = true
-		r.next = append(r.next, Decision{Kind: Subscribe})
+	if r.mustAsk {
+		r.mustAsk, r.next = false, append(r.next, Decision{Kind: Subscribe})
 	}
 	for _, b := range slices.Clone(r.held) {
-		if r.hopeless(b) {
+		// Given up: it can no longer be answered with any utility, or not be sent again.
+		if !r.again(b) || r.now+trust*b.alone+3*sweepEvery > b.endAt {
 			r.next = append(r.next, r.giveUp(b))
 		}
 	}
@@ -482,8 +445,8 @@
 		late := 0
 		for _, d := range e.outs {
 			g := d.batch.Group
-			out = amount{0, out.threads + d.threads, out.memory + d.memory}
-			age, usual := r.now-d.sent-d.still, d.batch.alone*g.stretch.quantile(0.95, 8)
+			out = out.add(d.takes, 1)
+			age, usual := r.now-d.sent-(r.still-d.still), d.batch.alone*g.stretch.quantile(0.95, 8)
 			if age > overdue*usual+0.2 && e.signAt < d.sent {
 				late++
 			}
@@ -516,17 +479,13 @@
 		r.shaken = shaken
 		r.log("%d of %d engines aside, shaken %t", aside, ready, shaken)
 	}
-	if ready > 0 {
-		r.alike = 1 + (r.routers-1)*fresh/float64(ready)
-	}
-	part := passed / presentTime
-	r.out.threads += (out.threads - r.out.threads) * part
-	r.out.memory += (out.memory - r.out.memory) * part
-	if cores > 0 && r.now > r.commonAt+presentTime { // no report tells of others: they are taken to be like us
-		r.common.threads = (r.routers - 1) * r.out.threads / cores
-		r.common.memory = (r.routers - 1) * r.out.memory / max(memory, 1)
-	}
+	r.alike = 1 + (r.routers-1)*fresh/max(float64(ready), 1)
+	r.out = r.out.add(out.add(r.out, -1), passed/presentTime)
 	if cores > 0 {
+		if r.now > r.commonAt+presentTime { // no report tells of others: they are taken to be like us
+			fleet := &Engine{engineState: engineState{cores: cores, memory: memory}}
+			r.common = amount{}.add(r.out, r.routers-1).per(fleet)
+		}
 		seen := threads / cores
 		if told > 0 {
 			seen = busy / told
@@ -539,16 +498,9 @@
 // aside. It may hurt when all engines slow down at once, until the learned stretch has grown.
 func (r *Router) startOver(d *dispatch) bool {
 	usual := d.batch.alone * d.batch.Group.stretch.quantile(0.75, 4)
-	if d.engine.asideUntil > r.now && d.engine.signAt < d.sent {
-		return r.now+usual < d.batch.limitAt
-	}
 	rest := (d.shareAt-d.sent)*(1-d.share)/d.share - (r.now - d.shareAt)
-	return d.share > 0 && rest > restartGain*usual && r.now+usual < d.batch.limitAt
-}
-
-// hopeless: it can no longer be answered with any utility, or not be sent again.
-func (r *Router) hopeless(b *Batch) bool {
-	return !r.again(b) || r.now+trust*b.alone+3*sweepEvery > b.endAt
+	return r.now+usual < d.batch.limitAt && (d.share > 0 && rest > restartGain*usual ||
+		d.engine.asideUntil > r.now && d.engine.signAt < d.sent)
 }
 
 // release is the design's ordinary path: which batch leaves next, where to, and whether the gate lets it.
@@ -610,15 +562,7 @@
 
 // place gives the engine with the lowest figure among those the batch may go to.
 func (r *Router) place(b *Batch) (best *Engine, figure float64) {
-	home, next := 0.0, 0.0
 	for _, e := range r.engines {
-		if h := b.home(e); e.Phase == Ready && e.asideUntil == 0 {
-			home, next = max(home, h), max(next, min(home, h))
-		}
-	}
-	first := int(r.draw() * float64(len(r.engines))) // ties fall apart, or all routers meet on one engine
-	for i := range r.engines {
-		e := r.engines[(first+i)%len(r.engines)]
 		if !r.allowed(b, e) || !r.fit(b, e) {
 			continue
 		}
@@ -630,7 +574,8 @@
 			}) {
 				f += blocked
 			}
-		} else if b.home(e) >= next && (r.routers <= 1 || r.fresh(e)) {
+		} else if (r.routers <= 1 || r.fresh(e)) &&
+			mix(math.Float64bits(b.Tables)>>24+1, uint64(e.ID))*float64(len(r.engines)) < homes {
 			f -= homeBonus
 		}
 		if n := len(b.dispatches); n > 0 && b.dispatches[n-1].engine == e {
@@ -643,12 +588,7 @@
 	return best, figure
 }
 
-// home ranks engines for a data set alike at every router, so that what one has read stays warm for all.
-func (b *Batch) home(e *Engine) float64 {
-	return mix(math.Float64bits(b.Tables)>>24+1, uint64(e.ID))
-}
-
-// mix gives a number from 0 up to 1 that is the same at every router.
+// mix is alike at every router: what one has read stays warm for all, and all pick the same few of them.
 func mix(a, b uint64) float64 {
 	h := a*0x9e3779b97f4a7c15 ^ b*0xc2b2ae3d27d4eb4f
 	h = (h ^ h>>29) * 0xbf58476d1ce4e5b9
@@ -698,55 +638,46 @@
 	if e.asideUntil > 0 && (r.now < e.asideUntil && !r.shaken || n > 0 && e.outs[n-1].sent >= e.asideAt) {
 		return false
 	}
-	if e.memory <= 0 || b.memory <= 0 {
-		return true
-	}
-	used := r.filled(e).memory * e.memory
 	// A small batch may go where a heavy one may not: it needs room for some of its like, of which other
 	// routers may be sending one each, but never more than the share that counts as full leaves free.
 	need := min(b.memory*memorySpare, r.largestGrant*e.memory)
-	return used+min(memoryRoom*need, need+(1-memoryFull)*e.memory) <= e.memory
+	return need <= 0 || r.filled(e).memory*e.memory+min(memoryRoom*need, need+(1-memoryFull)*e.memory) <= e.memory
 }
 
-// fresh tells whether an engine's report is still believed.
 func (r *Router) fresh(e *Engine) bool {
 	return e.told.batches > 0 && r.now < e.reportAt+reportStale
 }
 
-// filled is an engine's threads a core and its share of memory spoken for, by whom ever. Own threads stand in
-// for what no report tells, but one router of hundreds sees next to nothing of the rest: what others add is
-// pooled over the fleet and time, and an ageing report leans towards that pool. Engines differ widely: one without
-// a report counts as fuller than the pool, so that batches go among the few that reports tell of. What was sent since a report
-// counts once for each router that is likely to act on the like of it: with few routers all fall on one engine
-// together. It hurts when one engine fills much faster than the fleet.
+// filled: an engine's threads a core and share of memory spoken for, by whom ever. One router of hundreds
+// sees next to nothing of the rest, so reports are pooled over fleet and time; an old one leans to the pool.
+// Engines differ widely: one without a report counts as fuller, and batches go among the few reported. What
+// was sent since a report counts once for each router that likely acts on its like, or all meet on one engine.
+// It hurts where one engine fills much faster than the fleet.
 func (r *Router) filled(e *Engine) amount {
 	var own, since amount
 	for _, d := range e.outs {
-		own.threads, own.memory = own.threads+d.threads, own.memory+d.memory
+		own = own.add(d.takes, 1)
 		if d.sent > e.reportAt-reportLag {
-			since.threads, since.memory = since.threads+d.threads, since.memory+d.memory
+			since = since.add(d.takes, r.alike)
 		}
 	}
-	cores, memory := e.cores, max(e.memory, 1)
+	own, since = own.per(e), since.per(e)
 	if !r.fresh(e) {
 		others := 1 - 1/r.routers
-		return amount{0, blindThreads*others*r.common.threads + own.threads/cores,
-			blindMemory*others*r.common.memory + own.memory/memory}
+		return own.add(amount{0, blindThreads * r.common.threads, blindMemory * r.common.memory}, others)
 	}
 	old := (r.now - e.reportAt) / reportStale
-	return amount{0,
-		max(own.threads/cores, e.told.threads+(r.common.threads-e.told.threads)*old+since.threads*r.alike/cores),
-		max(own.memory/memory, e.told.memory+(r.common.memory-e.told.memory)*old+since.memory*r.alike/memory)}
+	sum := since.add(e.told, 1-old).add(r.common, old)
+	return amount{0, max(own.threads, sum.threads), max(own.memory, sum.memory)}
 }
 
-// send books a dispatch; its terms go first.
 func (r *Router) send(b *Batch, e *Engine) Decision {
-	r.unhold(b)
+	r.held = without(r.held, b)
 	if len(b.dispatches) > 0 && r.rationed {
 		r.furthers = append(r.furthers, r.now)
 	}
-	d := &dispatch{batch: b, engine: e, number: len(b.dispatches), sent: r.now, threads: b.Group.Threads}
-	d.memory = min(b.memory*memorySpare, r.largestGrant*e.memory)
+	d := &dispatch{batch: b, engine: e, number: len(b.dispatches), sent: r.now, still: r.still,
+		takes: amount{1, b.Group.Threads, min(b.memory*memorySpare, r.largestGrant*e.memory)}}
 	b.dispatches = append(b.dispatches, d)
 	e.outs = append(e.outs, d)
 	b.Out++
@@ -770,11 +701,11 @@
 	}
 	terms := Decision{Kind: Terms, Batch: b, Priority: 1}
 	if r.grants {
-		terms.Memory = min(d.memory*r.generous, r.largestGrant*e.memory)
+		terms.Memory = min(d.takes.memory*r.generous, r.largestGrant*e.memory)
 	}
 	if r.priorities {
-		ratio := 2 * b.demand / max(r.meanDemand, 1e-6) // 3 under half the mean
-		terms.Priority = min(max(3-int(math.Ceil(math.Log2(max(ratio, 0.25))/2)), 0), 3)
+		doublings := math.Log2(max(2*b.demand/max(r.meanDemand, 1e-6), 0.25)) // 3 under half the mean
+		terms.Priority = min(max(3-int(math.Ceil(doublings/2)), 0), 3)
 	}
 	r.next = append(r.next, out)
 	return terms
@@ -786,9 +717,7 @@
 		return nil
 	}
 	var oldest *Engine
-	first := int(r.draw() * float64(len(r.engines))) // not all routers ask the same one
-	for i := range r.engines {
-		e := r.engines[(first+i)%len(r.engines)]
+	for _, e := range r.engines {
 		due := e.Phase == Ready && !e.probing && r.now > e.probedAt+probeRest
 		if due && (oldest == nil || e.probedAt < oldest.probedAt) {
 			oldest = e
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -72,7 +72,7 @@
 		h.report(e, 16)
 	}
 	assert.InDelta(t, 2.0, h.common.threads, 0.5)
-	assert.Greater(t, h.filled(list[20]).threads, h.common.threads, "what was not asked counts as fuller than most")
+	assert.Greater(t, h.filled(list[20]).threads, h.common.threads, "the others count as fuller")
 	assert.Contains(t, list[:10], h.of(Dispatch, h.take(nil))[0].Engine, "so batches go among the few that were")
 	h.report(list[3], 2)
 	assert.Less(t, h.filled(list[3]).threads, 0.5)
@@ -235,7 +235,8 @@
 	h.now = list[0].asideUntil + 0.1
 	h.Clock(h.now)
 	h.pull()
-	assert.True(t, h.fit(h.take(func(b *Batch) { b.Cost = 5 }), list[0]) != (len(list[0].outs) == 1), "one as a trial")
+	long := h.take(func(b *Batch) { b.Cost = 5 })
+	assert.True(t, h.fit(long, list[0]) != (len(list[0].outs) == 1), "one as a trial")
 }
 
 func TestSilentEngineIsSetAside(t *testing.T) {
@@ -344,17 +345,15 @@
 		return h.of(Terms, h.take(func(b *Batch) { b.Memory = 1000 }))[0].Memory
 	}
 	assert.InDelta(t, memorySpare*1000, grant(LineUp), 1e-6)
-	assert.InDelta(t, memorySpare*generous*1000, grant(Overcommit), 1e-6)
+	assert.InDelta(t, memorySpare*generousness*1000, grant(Overcommit), 1e-6)
 }
 
 func TestRoutersDoNotAllMeetOnTheFirstOfTheList(t *testing.T) {
 	probed, sent := map[uint32]bool{}, map[uint32]bool{}
 	for seed := range 8 {
 		s := settings(lookups())
-		s.Routers, s.MayProbe = 200, true
+		s.Routers, s.Index, s.MayProbe = 200, seed, true
 		h, _ := newHost(t, s, 40)
-		h.random = uint64(seed+1) * 0x9e3779b9 % (1 << 32)
-		h.draw()
 		sent[h.of(Dispatch, h.take(nil))[0].Engine.ID] = true
 		probed[h.of(Probe, nil)[0].Engine.ID] = true
 	}
@@ -370,8 +369,9 @@
 	before := h.mark
 	h.now += 2.5 // nobody woke the router meanwhile; what came then is told now
 	h.Clock(h.now)
+	rep := &Report{Held: 2, Waiting: -1, Busy: -1, Memory: -1, Disks: -1}
 	for _, d := range list[0].outs[:2] {
-		h.Outcome(d.batch, 0, Returned, true, 2.5, 0.1, 0, &Report{Held: 2, Waiting: -1, Busy: -1, Memory: -1, Disks: -1})
+		h.Outcome(d.batch, 0, Returned, true, 2.5, 0.1, 0, rep)
 	}
 	h.pull()
 	assert.Zero(t, list[0].asideUntil)
--- a/brain/host_test.go
+++ b/brain/host_test.go
@@ -2,7 +2,7 @@
 
 import "testing"
 
-// host is the tiny fake host of the stories: it pulls, keeps what was decided and wakes the router when asked.
+// host is the tiny fake host of the stories: it pulls, keeps what was decided, wakes the router when asked.
 type host struct {
 	*Router
 	t     *testing.T
@@ -14,7 +14,7 @@
 }
 
 func settings(g *ServiceGroup) Settings {
-	return Settings{Routers: 1, Groups: []*ServiceGroup{g}, CoresByKind: []float64{8}, MemoryByKind: []float64{16000},
+	return Settings{Routers: 1, Groups: []*ServiceGroup{g}, EngineKinds: []EngineKind{{8, 16000}},
 		LargestGrant: 0.5, Shortage: LineUp, MayDefer: true, LongestDefer: 0.5, MostDispatches: 3, ColdFrom: 0.4,
 		ColdTime: 10, FallMultiple: 2, FallTime: 1, SettleTime: 0.5, Tick: 0.005}
 }
@@ -25,7 +25,7 @@
 
 // newHost starts a router at 100 s with so many warm engines of 8 cores.
 func newHost(t *testing.T, s Settings, engines int) (*host, []*Engine) {
-	h := &host{Router: New(s, 7, 100), t: t, now: 100, wake: 1e9, group: s.Groups[0]}
+	h := &host{Router: New(s, 7+uint64(s.Index)*0x9e3779b9, 100), t: t, now: 100, wake: 1e9, group: s.Groups[0]}
 	var list []*Engine
 	for i := range engines {
 		list = append(list, &Engine{ID: uint32(i + 1), Phase: Ready, Zone: i, Cell: i})
--- a/brain/types.go
+++ b/brain/types.go
@@ -56,6 +56,9 @@
 	Quota float64 // batches a second within its share, over all routers
 }
 
+// EngineKind is a kind of machine; 0 is not told.
+type EngineKind struct{ Cores, Memory float64 } // memory in MB
+
 // Settings is what a router is told at its start. Times are seconds.
 type Settings struct {
 	Routers        int
@@ -64,9 +67,8 @@
 	Groups         []*ServiceGroup
 	Clients        []Client
 	OverShare      float64 // utility of a batch beyond its client's share
-	CoresByKind    []float64
-	MemoryByKind   []float64 // MB
-	LargestGrant   float64   // share of an engine's memory
+	EngineKinds    []EngineKind
+	LargestGrant   float64 // share of an engine's memory
 	Shortage       Shortage
 	Grants         bool
 	Priorities     bool
@@ -224,14 +226,14 @@
 	batch         *Batch
 	engine        *Engine
 	number        int
-	sent, threads float64
-	memory, share float64 // share done, as last told
-	shareAt       float64
-	still         float64 // while this router stood still
+	takes         amount
+	sent, shareAt float64
+	share         float64 // share done, as last told
+	still         float64 // how long this router had stood still before
 	ended, cancel bool
 }
 
-// amount is how much some batches take: their number, threads and memory, or the last two against an engine's.
+// amount is what some batches take: their number, threads and memory, or the last two against an engine's.
 type amount struct{ batches, threads, memory float64 }
 
 type spend struct{ at, work float64 }
@@ -255,8 +257,7 @@
 	groups                 []*ServiceGroup
 	routers                float64
 	index                  int
-	coresByKind            []float64
-	memoryByKind           []float64
+	kinds                  []EngineKind
 	largestGrant, generous float64
 	grants, priorities     bool
 	mayCancel, mayProbe    bool
@@ -264,7 +265,7 @@
 	comeBack               float64
 	most                   int     // dispatches of a batch
 	probeEvery             float64 // own batches that pay for a probe
-	coldFrom, coldTime     float64
+	coldTime               float64
 	coldWork, fallTime     float64 // own work a core that a cold engine may get in each fall time
 	settle, tick           float64
 	freeFurther, further   float64
@@ -279,6 +280,7 @@
 	lanes          map[uint64]*lane
 	load           float64
 	stood, stoodAt float64 // how long this router last stood still, and when it saw
+	still          float64 // all its standstills
 	out            amount  // own dispatches out, lately
 	like           amount  // what our batches are like, each by its time alone
 	common         amount  // what an engine holds on average
@@ -292,5 +294,4 @@
 	next           []Decision
 	probeCredit    float64
 	wakeAt         float64
-	asked          bool
 }
--- a/cmd/simhost/settings.go
+++ b/cmd/simhost/settings.go
@@ -105,8 +105,8 @@
 		index = *o.Index
 	}
 	s := brain.Settings{Routers: o.Balancers, Index: index, Zone: o.Zone, OverShare: o.OverShare,
-		CoresByKind: o.Specifics.Cores, MemoryByKind: o.Specifics.Memory, LargestGrant: o.Specifics.Largest,
-		Shortage: shortages[o.Specifics.Over], Grants: o.Specifics.Grants, Priorities: o.Specifics.Priority,
+		LargestGrant: o.Specifics.Largest,
+		Shortage:     shortages[o.Specifics.Over], Grants: o.Specifics.Grants, Priorities: o.Specifics.Priority,
 		NotesEvery: o.Specifics.Pace / 1000, MayCancel: o.Limits.Cancel, MayProbe: o.Limits.Probe,
 		MayCopy: o.Limits.Duplicate, MayDefer: o.Limits.RetryAfter, LongestDefer: o.Limits.MaxRetry / 1000,
 		MostDispatches: o.Limits.Attempts, ProbePrice: o.Prices.Probe, ColdFrom: o.Rules.ColdFrom,
@@ -125,6 +125,9 @@
 			Load: at(o.Specifics.Writes, i), Waits: at(o.Specifics.Yields, i), InOrder: g.ByArrival,
 			Zones: g.RunsIn, Kinds: g.Flavors})
 	}
+	for i, c := range o.Specifics.Cores {
+		s.EngineKinds = append(s.EngineKinds, brain.EngineKind{Cores: c, Memory: at(o.Specifics.Memory, i)})
+	}
 	for _, c := range o.Customers {
 		s.Clients = append(s.Clients, brain.Client{Quota: c.Quota})
 	}
