--- a/brain/brain.go
+++ b/brain/brain.go
@@ -641,7 +641,8 @@
 	// A small batch may go where a heavy one may not: it needs room for some of its like, of which other
 	// routers may be sending one each, but never more than the share that counts as full leaves free.
 	need := min(b.memory*memorySpare, r.largestGrant*e.memory)
-	return need <= 0 || r.filled(e).memory*e.memory+min(memoryRoom*need, need+(1-memoryFull)*e.memory) <= e.memory
+	room := min(memoryRoom*need, need+(1-memoryFull)*e.memory)
+	return need <= 0 || r.filled(e).memory*e.memory+room <= e.memory
 }
 
 func (r *Router) fresh(e *Engine) bool {
@@ -651,7 +652,7 @@
 // filled: an engine's threads a core and share of memory spoken for, by whom ever. One router of hundreds
 // sees next to nothing of the rest, so reports are pooled over fleet and time; an old one leans to the pool.
 // Engines differ widely: one without a report counts as fuller, and batches go among the few reported. What
-// was sent since a report counts once for each router that likely acts on its like, or all meet on one engine.
+// was sent since a report counts once for each router that likely acts on its like, or all meet on one.
 // It hurts where one engine fills much faster than the fleet.
 func (r *Router) filled(e *Engine) amount {
 	var own, since amount
@@ -662,6 +663,9 @@
 		}
 	}
 	own, since = own.per(e), since.per(e)
+	if !r.fresh(e) && r.cold(e) { // only the few that share its budget send there, each like us
+		return amount{}.add(own, min(r.routers, coldRouters))
+	}
 	if !r.fresh(e) {
 		others := 1 - 1/r.routers
 		return own.add(amount{0, blindThreads * r.common.threads, blindMemory * r.common.memory}, others)
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -412,3 +412,18 @@
 	assert.Positive(t, h.common.memory)
 	assert.Len(t, h.of(Dispatch, h.take(nil)), 1)
 }
+
+func TestColdEngineWithoutAReportIsUsed(t *testing.T) {
+	s := settings(lookups())
+	s.Routers = 200
+	h, list := newHost(t, s, 3)
+	for _, e := range list[:2] {
+		h.report(e, 12)
+	}
+	for list[2].StartedAt = 98; !h.coldRoom(list[2], 0.1); list[2].StartedAt += 0.01 {
+		h.now += 0.02 // a start that makes this router one of the few that share its budget
+		h.Clock(h.now)
+	}
+	h.Listed(list, true)
+	assert.Same(t, list[2], h.of(Dispatch, h.take(nil))[0].Engine, "who else sends there is known")
+}
