Memory: room for all who act alike, and a lower full share where few engines are known

Change: room for four and for each router that likely acts on the like of a report, eight at least; memory counts as full at 0.65 where all engines have a report, down to 0.55 where none has.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -18,36 +18,31 @@
 const (
 	firstMark, leastMark, mostMark = 1.5, 0.4, 4.0 // threads a core below which a batch starts
 
-	markStep, goodStretch = 0.02, 1.5 // it follows answers to this time over time alone: full, not crowded
-	blocked               = 2.0       // threads a core that a load on the same data set counts for
-	homeBonus, homes      = 0.4, 2    // threads a core that a likely warm data set is worth, on so many engines
-	slowLimit             = 4         // slow batches that may wait before the most slowed leaves
-	firstLoad, mostLoad   = 0.9, 0.95 // load until something is seen, and its clamp
-	loadTime              = 2.0       // how fast the load follows
+	markStep, goodStretch         = 0.02, 1.5      // it follows answers to this time over time alone: full, not crowded
+	blocked                       = 2.0            // threads a core that a load on the same data set counts for
+	homeBonus, homes              = 0.4, 2         // threads a core that a likely warm data set is worth, on so many engines
+	slowLimit                     = 4              // slow batches that may wait before the most slowed leaves
+	firstLoad, mostLoad, loadTime = 0.9, 0.95, 2.0 // load until something is seen, its clamp, and its pace
 
 	redrawLeast, redrawMost   = 0.05, 0.2
 	reportLag, reportStale    = 0.4, 1.4 // a report is about this old when it comes; then believed for so long
 	blindThreads, blindMemory = 2.0, 8.0 // an engine without one counts as so many times as full as the pool
-	poolTime                  = 4.0      // how long reports count towards that
-	presentTime               = 5.0      // and own dispatches where no report tells
-
-	memorySpare  = 1.25  // grant over the corrected need
-	memoryFull   = 0.65  // share of an engine's memory that heavy batches may speak for: reports are late
-	memoryRoom   = 8.0   // batches of its like that must find room in an engine's memory before one is sent
-	generousness = 3.0   // times the grant, where only what is needed counts
-	warmLoad     = 0.85  // the busy share of the cores that counts as capacity
-	probeWorth   = 0.005 // of the result that probes may cost
-	probeRest    = 0.25  // between probes of one engine
-	coldShare    = 0.65  // part of the cold budget that is used; the rest is for estimates that lie
-	coldRouters  = 16    // routers that share the cold budget of an engine
-
-	asideFirst, asideMost = 1.0, 8.0 // an engine set aside is tried again after this, doubled each time
-	trust                 = 2.0      // times the estimate must fit in the time left, else a batch is given up
-	sweepEvery            = 0.05
-	standstill            = 0.2 // woken so much too late, a router has stood still
-	mostTries             = 16  // batches without a fitting engine that one pull looks at
-	overdue               = 2.0 // times the usual longest time
-	restartGain           = 2.0 // a dispatch starts over when that looks so many times quicker
+	poolTime, presentTime     = 4.0, 5.0 // how long reports count towards that, and own dispatches without any
+
+	memorySpare           = 1.25        // grant over the corrected need
+	memoryFull, blindFull = 0.65, 0.55  // share of memory for heavy batches: all engines reported, and none
+	memoryRoom, roomSpare = 8.0, 4.0    // batches of its like that must find room before one is sent
+	generousness          = 3.0         // times the grant, where only what is needed counts
+	warmLoad              = 0.85        // the busy share of the cores that counts as capacity
+	probeWorth, probeRest = 0.005, 0.25 // of the result that probes may cost, and between those of an engine
+	coldShare             = 0.65        // of the cold budget is used; the rest is for estimates that lie
+	coldRouters           = 16          // routers that share the cold budget of an engine
+
+	asideFirst, asideMost  = 1.0, 8.0  // an engine set aside is tried again after this, doubled each time
+	trust                  = 2.0       // times the estimate must fit in the time left, else a batch is given up
+	sweepEvery, standstill = 0.05, 0.2 // woken so much too late, a router has stood still
+	mostTries              = 16        // batches without a fitting engine that one pull looks at
+	overdue, restartGain   = 2.0, 2.0  // times the usual longest time; a fresh start must look so much quicker
 )
 
 func (h *histogram) add(ratio float64) {
@@ -479,7 +474,8 @@
 		r.shaken = shaken
 		r.log("%d of %d engines aside, shaken %t", aside, ready, shaken)
 	}
-	r.alike = 1 + (r.routers-1)*fresh/max(float64(ready), 1)
+	r.sight = fresh / max(float64(ready), 1)
+	r.alike = 1 + (r.routers-1)*r.sight
 	r.out = r.out.add(out.add(r.out, -1), passed/presentTime)
 	if cores > 0 {
 		if r.now > r.commonAt+presentTime { // no report tells of others: they are taken to be like us
@@ -638,10 +634,11 @@
 	if e.asideUntil > 0 && (r.now < e.asideUntil && !r.shaken || n > 0 && e.outs[n-1].sent >= e.asideAt) {
 		return false
 	}
-	// A small batch may go where a heavy one may not: it needs room for some of its like, of which other
-	// routers may be sending one each, but never more than the share that counts as full leaves free.
+	// A small batch may go where a heavy one may not: it needs room for some of its like, of which routers
+	// that act alike send one each, but never more than the share that counts as full leaves free.
 	need := min(b.memory*memorySpare, r.largestGrant*e.memory)
-	room := min(memoryRoom*need, need+(1-memoryFull)*e.memory)
+	full := blindFull + (memoryFull-blindFull)*r.sight
+	room := min(max(memoryRoom, roomSpare+r.alike)*need, need+(1-full)*e.memory)
 	return need <= 0 || r.filled(e).memory*e.memory+room <= e.memory
 }
 
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -427,3 +427,16 @@
 	h.Listed(list, true)
 	assert.Same(t, list[2], h.of(Dispatch, h.take(nil))[0].Engine, "who else sends there is known")
 }
+
+func TestMemoryNeedsRoomForAllWhoActAlike(t *testing.T) {
+	s := settings(lookups())
+	s.Routers = 100
+	h, list := newHost(t, s, 4)
+	for _, e := range list {
+		h.Probed(e, true, &Report{Held: 1, Waiting: -1, Busy: -1, Memory: 0.8, Disks: -1})
+	}
+	h.pass(0.2)
+	assert.Len(t, h.of(Dispatch, h.take(func(b *Batch) { b.Memory = 20 })), 1)
+	heavy := h.take(func(b *Batch) { b.Memory = 400 })
+	assert.Empty(t, h.of(Dispatch, heavy), "room for eight, not for a hundred")
+}
--- a/brain/types.go
+++ b/brain/types.go
@@ -285,6 +285,7 @@
 	like           amount  // what our batches are like, each by its time alone
 	common         amount  // what an engine holds on average
 	commonAt       float64 // when a report last told of that
+	sight          float64 // share of the engines with a believed report
 	alike          float64 // routers that are likely to act on the like of a report of ours
 	mark           float64
 	meanDemand     float64
