--- a/brain/brain.go
+++ b/brain/brain.go
@@ -18,10 +18,11 @@
 const (
 	firstMark, leastMark, mostMark = 1.5, 0.4, 4.0 // threads a core below which a batch starts
 
-	markStep, goodStretch         = 0.02, 1.5      // it follows answers to this time over time alone: full, not crowded
-	blocked                       = 2.0            // threads a core that a load on the same data set counts for
-	homeBonus, homes              = 0.4, 2         // threads a core that a likely warm data set is worth, on so many engines
-	slowLimit                     = 4              // slow batches that may wait before the most slowed leaves
+	markStep, goodStretch = 0.02, 1.5 // it follows answers to this time over time alone: full, not crowded
+	blocked               = 2.0       // threads a core that a load on the same data set counts for
+	homeBonus, homes      = 0.4, 2    // threads a core that a likely warm data set is worth, on so many engines
+	slowLimit             = 4         // slow batches that may wait before the most slowed leaves
+
 	firstLoad, mostLoad, loadTime = 0.9, 0.95, 2.0 // load until something is seen, its clamp, and its pace
 
 	redrawLeast, redrawMost   = 0.05, 0.2
