With no report believed at all, engines without one count as the pool

Cause: a router with little traffic asks seldom; with no report left to go by, eight times the pool's memory shut every engine.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -666,6 +666,9 @@
 	}
 	if !r.fresh(e) {
 		others := 1 - 1/r.routers
+		if r.sight == 0 {
+			return own.add(r.common, others)
+		}
 		return own.add(amount{0, blindThreads * r.common.threads, blindMemory * r.common.memory}, others)
 	}
 	old := (r.now - e.reportAt) / reportStale
