--- a/brain/brain.go
+++ b/brain/brain.go
@@ -112,7 +112,6 @@
 	return amount{a.batches + times*b.batches, a.threads + times*b.threads, a.memory + times*b.memory}
 }
 
-// per gives the amount as threads a core and as share of the memory of an engine.
 func (a amount) per(e *Engine) amount {
 	return amount{a.batches, a.threads / e.cores, a.memory / max(e.memory, 1)}
 }
@@ -374,7 +373,7 @@
 		return r.send(b, e)
 	}
 	if e := r.probe(); e != nil {
-		e.probing, e.probedAt = true, r.now
+		e.probing, e.probedAt, r.probeCredit = true, r.now, r.probeCredit-r.probeEvery
 		return Decision{Kind: Probe, Engine: e}
 	}
 	return r.wake()
@@ -661,15 +660,17 @@
 		}
 	}
 	own, since = own.per(e), since.per(e)
-	if !r.fresh(e) && r.cold(e) { // only the few that share its budget send there, each like us
+	all, others := amount{}.add(own, r.alike), 1-1/r.routers
+	switch {
+	case r.fresh(e) && e.report.Memory < 0:
+		own.memory = all.memory
+	case r.fresh(e):
+	case r.cold(e): // only the few that share its budget send there, each like us
 		return amount{}.add(own, min(r.routers, coldRouters))
-	}
-	if !r.fresh(e) {
-		others := 1 - 1/r.routers
-		if r.sight == 0 {
-			return own.add(r.common, others)
-		}
-		return own.add(amount{0, blindThreads * r.common.threads, blindMemory * r.common.memory}, others)
+	case r.sight == 0:
+		return all.add(r.common, others)
+	default:
+		return all.add(amount{0, blindThreads * r.common.threads, blindMemory * r.common.memory}, others)
 	}
 	old := (r.now - e.reportAt) / reportStale
 	sum := since.add(e.told, 1-old).add(r.common, old)
@@ -728,8 +729,5 @@
 			oldest = e
 		}
 	}
-	if oldest != nil {
-		r.probeCredit -= r.probeEvery
-	}
 	return oldest
 }
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -71,6 +71,7 @@
 	for _, e := range list[:10] {
 		h.report(e, 16)
 	}
+	h.pass(0.1)
 	assert.InDelta(t, 2.0, h.common.threads, 0.5)
 	assert.Greater(t, h.filled(list[20]).threads, h.common.threads, "the others count as fuller")
 	assert.Contains(t, list[:10], h.of(Dispatch, h.take(nil))[0].Engine, "so batches go among the few that were")
@@ -440,3 +441,14 @@
 	heavy := h.take(func(b *Batch) { b.Memory = 400 })
 	assert.Empty(t, h.of(Dispatch, heavy), "room for eight, not for a hundred")
 }
+
+func TestRouterWithoutAnyReportStillSends(t *testing.T) {
+	s := settings(lookups())
+	s.Routers = 50
+	h, list := newHost(t, s, 4)
+	for _, e := range list {
+		h.Probed(e, true, &Report{Held: 2, Waiting: -1, Busy: -1, Memory: 0.3, Disks: -1})
+	}
+	h.pass(2)
+	assert.Len(t, h.of(Dispatch, h.take(func(b *Batch) { b.Memory = 100 })), 1, "no report is left to go by")
+}
