--- a/brain/brain.go
+++ b/brain/brain.go
@@ -40,7 +40,7 @@
 	coldRouters           = 16          // routers that share the cold budget of an engine
 
 	asideFirst, asideMost  = 1.0, 8.0  // an engine set aside is tried again after this, doubled each time
-	trust                  = 2.0       // times the estimate must fit in the time left, else a batch is given up
+	trustLoad              = 1.0       // an engine at full load takes so many more times the estimate
 	sweepEvery, standstill = 0.05, 0.2 // woken so much too late, a router has stood still
 	mostTries              = 16        // batches without a fitting engine that one pull looks at
 	overdue, restartGain   = 2.0, 2.0  // times the usual longest time; a fresh start must look so much quicker
@@ -430,7 +430,7 @@
 	}
 	for _, b := range slices.Clone(r.held) {
 		// Given up: it can no longer be answered with any utility, or not be sent again.
-		if !r.again(b) || r.now+trust*b.alone+3*sweepEvery > b.endAt {
+		if !r.again(b) || r.now+(1+r.load*trustLoad)*b.alone+3*sweepEvery > b.endAt {
 			r.next = append(r.next, r.giveUp(b))
 		}
 	}
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -452,3 +452,16 @@
 	h.pass(2)
 	assert.Len(t, h.of(Dispatch, h.take(func(b *Batch) { b.Memory = 100 })), 1, "no report is left to go by")
 }
+
+func TestLongBatchIsTriedWhereEnginesAreIdle(t *testing.T) {
+	g := &ServiceGroup{Effect: Repeatable, Goal: 9, LateShare: 0.5, Limit: 10, Threads: 1}
+	h, list := newHost(t, settings(g), 1)
+	long := func(b *Batch) { b.Cost = 7 }
+	h.load = 0.1
+	assert.Len(t, h.of(Dispatch, h.take(long)), 1, "it just fits an idle engine")
+	h.crowd(list)
+	h.load = mostLoad
+	late := h.take(long)
+	h.pass(0.1)
+	assert.Len(t, h.of(PushBack, late), 1, "and no busy one")
+}
