--- a/brain/brain.go
+++ b/brain/brain.go
@@ -435,7 +435,7 @@
 		}
 	}
 	var out amount
-	threads, cores, memory, busy, told, fresh, ready, aside := 0.0, 0.0, 0.0, 0.0, 0.0, 0.0, 0, 0
+	cores, memory, busy, told, fresh, ready, aside := 0.0, 0.0, 0.0, 0.0, 0.0, 0, 0
 	for _, e := range r.engines {
 		late := 0
 		for _, d := range e.outs {
@@ -461,7 +461,6 @@
 			}
 			cores += e.cores
 			memory += e.memory
-			threads += r.filled(e).threads * e.cores
 			if r.fresh(e) {
 				fresh++
 			}
@@ -478,11 +477,12 @@
 	r.alike = 1 + (r.routers-1)*r.sight
 	r.out = r.out.add(out.add(r.out, -1), passed/presentTime)
 	if cores > 0 {
+		seen := r.common.threads
 		if r.now > r.commonAt+presentTime { // no report tells of others: they are taken to be like us
 			fleet := &Engine{engineState: engineState{cores: cores, memory: memory}}
 			r.common = amount{}.add(r.out, r.routers-1).per(fleet)
+			seen = r.common.threads + r.out.threads/cores
 		}
-		seen := threads / cores
 		if told > 0 {
 			seen = busy / told
 		}
