--- /dev/null
+++ b/cmd/pitchfield/main.go
@@ -0,0 +1,60 @@
+// Command pitchfield is one router: it takes batches from clients and has them run by analytic engines.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"pitchfield/internal/config"
+	"pitchfield/internal/loop"
+)
+
+// softMemory is the part of the memory limit at which the collector works harder; the rest is not Go's heap.
+const softMemory = 0.7
+
+func main() {
+	level := zap.LevelFlag("log-level", zap.InfoLevel, "least level that is logged; debug has lines for every batch")
+	flag.Parse()
+	if err := run(level); err != nil {
+		fmt.Fprintln(os.Stderr, "pitchfield:", err)
+		os.Exit(1)
+	}
+}
+
+func run(level *zapcore.Level) error {
+	c, err := config.Load(os.Getenv)
+	if err != nil {
+		return err
+	}
+	runtime.GOMAXPROCS(1)
+	if c.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(softMemory * float64(c.MemoryMB) * (1 << 20)))
+	}
+	logging := zap.NewProductionConfig()
+	logging.Level, logging.Sampling = zap.NewAtomicLevelAt(*level), nil
+	logging.DisableStacktrace, logging.DisableCaller = true, true
+	log, err := logging.Build()
+	if err != nil {
+		return fmt.Errorf("log: %w", err)
+	}
+	defer log.Sync() //nolint:errcheck
+	log = log.With(zap.String("router", c.Name))
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer cancel()
+	log.Info("starting", zap.String("listen", c.Listen), zap.Int("memory_mb", c.MemoryMB),
+		zap.Int("descriptors", c.Descriptors), zap.Int("engines", len(c.Known.Engines)))
+	if err := loop.Run(ctx, c, log); err != nil {
+		return err
+	}
+	log.Info("ended")
+	return nil
+}
--- a/cmd/simhost/host.go
+++ b/cmd/simhost/host.go
@@ -4,6 +4,7 @@
 	"fmt"
 
 	"pitchfield/brain"
+	"pitchfield/internal/settings"
 	"pitchfield/simwire"
 )
 
@@ -91,12 +92,12 @@
 		if rec.Err() != nil {
 			return nil
 		}
-		s, names, err := decodeSettings(text)
+		s, err := settings.Decode(text)
 		if err != nil {
 			return err
 		}
-		h.routers[id] = &router{id: id, brain: brain.New(s, seed, now), batches: map[uint64]*brain.Batch{},
-			engines: map[uint32]*brain.Engine{}, groups: s.Groups, clients: len(s.Clients), reports: names}
+		h.routers[id] = &router{id: id, brain: brain.New(s.Settings, seed, now), batches: map[uint64]*brain.Batch{},
+			engines: map[uint32]*brain.Engine{}, groups: s.Groups, clients: len(s.Clients), reports: s.Reports}
 	}
 	rt := h.routers[id]
 	if rt == nil {
@@ -200,19 +201,10 @@
 	if len(h.floats) == 0 {
 		return nil
 	}
-	rep := &brain.Report{Held: -1, Waiting: -1, Busy: -1, Memory: -1, Disks: -1}
+	rep := settings.NoReport()
 	for i, v := range h.floats {
-		switch at(rt.reports, i) {
-		case "active":
-			rep.Held = v
-		case "waiting":
-			rep.Waiting = v
-		case "cpu":
-			rep.Busy = v
-		case "x0":
-			rep.Memory = v
-		case "x1":
-			rep.Disks = v
+		if i < len(rt.reports) {
+			settings.Report(rep, rt.reports[i], v)
 		}
 	}
 	return rep
--- /dev/null
+++ b/internal/buffers/buffers.go
@@ -0,0 +1,188 @@
+// Package buffers holds bytes on their way through the router: buffers of one size, used again, and chains of them.
+package buffers
+
+import "io"
+
+// Size is the size of every buffer.
+const Size = 4096
+
+// Pool hands out buffers and takes them back. It belongs to one event loop.
+type Pool struct {
+	free [][]byte
+	used int
+}
+
+// Used tells how many buffers are out.
+func (p *Pool) Used() int { return p.used }
+
+func (p *Pool) get() []byte {
+	p.used++
+	if n := len(p.free); n > 0 {
+		b := p.free[n-1]
+		p.free = p.free[:n-1]
+		return b
+	}
+	return make([]byte, 0, Size)
+}
+
+func (p *Pool) put(b []byte) {
+	p.used--
+	if len(p.free) < 1024 { // what a burst needed beyond that goes back to the collector
+		p.free = append(p.free, b[:0])
+	}
+}
+
+// Chain is a message or a stream of any length in pooled buffers. Whoever holds it releases it.
+type Chain struct {
+	pool  *Pool
+	parts [][]byte // the whole buffers
+	from  int      // bytes of the first that are read already
+	size  int
+}
+
+// Chain gives an empty chain.
+func (p *Pool) Chain() *Chain { return &Chain{pool: p} }
+
+// Len tells how many bytes it holds.
+func (c *Chain) Len() int { return c.size }
+
+// Write appends; it never fails.
+func (c *Chain) Write(p []byte) (int, error) {
+	n := len(p)
+	c.size += n
+	for len(p) > 0 {
+		last := len(c.parts) - 1
+		if last < 0 || len(c.parts[last]) == Size {
+			c.parts = append(c.parts, c.pool.get())
+			last++
+		}
+		b := c.parts[last]
+		took := min(Size-len(b), len(p))
+		c.parts[last] = append(b, p[:took]...)
+		p = p[took:]
+	}
+	return n, nil
+}
+
+// WriteString appends a text.
+func (c *Chain) WriteString(s string) { c.Write([]byte(s)) }
+
+// Parts gives the bytes as they lie, without the read ones; they stay the chain's.
+func (c *Chain) Parts() [][]byte {
+	out := make([][]byte, 0, len(c.parts))
+	for i, b := range c.parts {
+		if i == 0 {
+			b = b[c.from:]
+		}
+		if len(b) > 0 {
+			out = append(out, b)
+		}
+	}
+	return out
+}
+
+// Append copies all of another chain, which stays as it is.
+func (c *Chain) Append(o *Chain) {
+	for i, b := range o.parts {
+		if i == 0 {
+			b = b[o.from:]
+		}
+		c.Write(b)
+	}
+}
+
+// Peek copies bytes from an offset on, without reading them; it tells how many there were.
+func (c *Chain) Peek(at int, into []byte) int {
+	at += c.from
+	n := 0
+	for i := at / Size; i < len(c.parts) && n < len(into); i++ { // only the last part may be short
+		b := c.parts[i]
+		if skip := at - i*Size; skip > 0 {
+			b = b[min(skip, len(b)):]
+		}
+		n += copy(into[n:], b)
+	}
+	return n
+}
+
+// Index finds a byte from an offset on, within so many bytes; below 0: it is not there.
+func (c *Chain) Index(at int, what byte, within int) int {
+	var one [64]byte
+	for end := min(at+within, c.size); at < end; {
+		n := min(c.Peek(at, one[:]), end-at)
+		for i, b := range one[:n] {
+			if b == what {
+				return at + i
+			}
+		}
+		at += n
+	}
+	return -1
+}
+
+// Discard reads bytes away.
+func (c *Chain) Discard(n int) {
+	n = min(n, c.size)
+	c.size -= n
+	c.from += n
+	for len(c.parts) > 0 && (c.from >= Size || c.size == 0) {
+		c.from = max(c.from-Size, 0)
+		c.pool.put(c.parts[0])
+		c.parts = c.parts[1:]
+	}
+	if c.size == 0 {
+		c.from, c.parts = 0, nil
+	}
+}
+
+// Cut moves the first bytes to a chain of their own.
+func (c *Chain) Cut(n int) *Chain {
+	out := c.pool.Chain()
+	n = min(n, c.size)
+	for left, i := n, 0; left > 0; i++ {
+		b := c.parts[i]
+		if i == 0 {
+			b = b[c.from:]
+		}
+		took := min(left, len(b))
+		out.Write(b[:took])
+		left -= took
+	}
+	c.Discard(n)
+	return out
+}
+
+// String copies it all.
+func (c *Chain) String() string {
+	out := make([]byte, c.size)
+	c.Peek(0, out)
+	return string(out)
+}
+
+// Release gives the buffers back; the chain is empty then. Releasing none is allowed.
+func (c *Chain) Release() {
+	if c != nil {
+		c.Discard(c.size)
+	}
+}
+
+// Reader reads the chain byte by byte and leaves it as it is.
+func (c *Chain) Reader() *Reader { return &Reader{c: c, at: c.from} }
+
+// Reader reads a chain.
+type Reader struct {
+	c        *Chain
+	part, at int
+}
+
+// ReadByte gives the next byte.
+func (r *Reader) ReadByte() (byte, error) {
+	for r.part < len(r.c.parts) {
+		if b := r.c.parts[r.part]; r.at < len(b) {
+			r.at++
+			return b[r.at-1], nil
+		}
+		r.part, r.at = r.part+1, 0
+	}
+	return 0, io.EOF
+}
--- /dev/null
+++ b/internal/loop/loop.go
@@ -0,0 +1,463 @@
+// Package loop runs the router on one gnet event loop: sockets and timers in, effects out. It decides nothing.
+package loop
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"syscall"
+	"time"
+
+	"github.com/panjf2000/gnet/v2"
+	errorx "github.com/panjf2000/gnet/v2/pkg/errors"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"pitchfield/internal/buffers"
+	"pitchfield/internal/clients"
+	"pitchfield/internal/config"
+	"pitchfield/internal/directory"
+	"pitchfield/internal/engines"
+	"pitchfield/internal/router"
+)
+
+const (
+	mostUnread  = 2 << 20 // bytes that a peer may leave unread: more than all answers of one connection
+	memoryShare = 0.25    // of the memory limit, for what peers leave unread, and as much for what is not whole
+	flushTime   = 300 * time.Millisecond
+	noTick      = time.Hour
+)
+
+type kind uint8
+
+const (
+	toClient kind = iota
+	toEngine
+	toNames
+)
+
+// peer is one connection.
+type peer struct {
+	kind   kind
+	number uint64
+	conn   gnet.Conn
+	in     *buffers.Chain
+	unread int // bytes that wait to be written
+}
+
+// Loop is the event handler; all but Stop runs on the event loop.
+type Loop struct {
+	gnet.BuiltinEventEngine
+
+	config config.Config
+	log    *zap.Logger
+	ctx    context.Context
+	pool   *buffers.Pool
+	router *router.Router
+	turn   gnet.EventLoop // the one loop, known from the first connection on
+	there  chan struct{}  // closed when it is
+	engine gnet.Engine
+
+	clients, engines map[uint64]*peer
+	names            *peer
+	numbers          uint64
+	waiting          map[*peer]struct{} // with bytes that wait to be written
+	unread           int
+	mostMemory       int
+
+	queue   []router.Event
+	running bool
+	armed   bool
+	timer   *time.Timer
+	ended   bool
+	endBy   time.Time
+}
+
+// Run serves until the context ends and all that was taken is answered.
+func Run(ctx context.Context, c config.Config, log *zap.Logger) error {
+	l := &Loop{config: c, log: log, ctx: context.WithoutCancel(ctx), pool: &buffers.Pool{},
+		there: make(chan struct{}), clients: map[uint64]*peer{}, engines: map[uint64]*peer{}, waiting: map[*peer]struct{}{},
+		mostMemory: int(memoryShare * float64(max(c.MemoryMB, 64)) * (1 << 20))}
+	l.router = router.New(c, l.pool, clock())
+	stop := context.AfterFunc(ctx, l.stop)
+	defer stop()
+	// Sharing the port is how gnet puts accepting into the one loop; without, it runs a second for that.
+	err := gnet.Run(l, "tcp://"+c.Listen, gnet.WithNumEventLoop(1), gnet.WithReusePort(true), gnet.WithReuseAddr(true),
+		gnet.WithTicker(true), gnet.WithLogger(log.Sugar()), gnet.WithWriteBufferCap(buffers.Size*4))
+	if err != nil {
+		return fmt.Errorf("serve on %s: %w", c.Listen, err)
+	}
+	return nil
+}
+
+// clock gives the Unix clock in seconds.
+func clock() float64 { return float64(time.Now().UnixMicro()) / 1e6 }
+
+func (l *Loop) stop() {
+	<-l.there
+	l.execute(func() error {
+		l.post(router.StopAsked{})
+		return nil
+	})
+}
+
+// execute runs something on the loop, soon.
+func (l *Loop) execute(what func() error) {
+	run := gnet.RunnableFunc(func(context.Context) error { return what() })
+	if err := l.turn.Execute(l.ctx, run); err != nil {
+		l.log.Warn("event loop is closed", zap.Error(err))
+	}
+}
+
+// OnBoot keeps the engine.
+func (l *Loop) OnBoot(e gnet.Engine) gnet.Action {
+	l.engine = e
+	return gnet.None
+}
+
+// OnTick comes first when the loop is there; what it begins brings the loop itself to us.
+func (l *Loop) OnTick() (time.Duration, gnet.Action) {
+	conn, err := net.Dial("udp", l.config.Resolver)
+	if err == nil {
+		_, err = l.engine.Register(gnet.NewContext(gnet.NewNetConnContext(l.ctx, conn), &peer{kind: toNames}))
+	}
+	if err != nil {
+		l.log.Error("name service", zap.Error(err))
+		return time.Second, gnet.None
+	}
+	return noTick, gnet.None
+}
+
+// OnOpen takes in a connection, accepted or made.
+func (l *Loop) OnOpen(c gnet.Conn) ([]byte, gnet.Action) {
+	if l.turn == nil {
+		l.turn = c.EventLoop()
+		close(l.there)
+	}
+	p, made := c.Context().(*peer)
+	if !made {
+		l.numbers++
+		p = &peer{kind: toClient, number: l.numbers}
+		c.SetContext(p)
+	}
+	p.conn, p.in = c, l.pool.Chain()
+	switch p.kind {
+	case toNames:
+		l.names = p
+		l.post(router.TurnEnded{})
+	case toEngine:
+		l.engines[p.number] = p
+		l.post(router.EngineOpened{Connection: p.number})
+	case toClient:
+		// gnet ends its loop where accept finds no descriptor, so a connection too many is closed at once.
+		if l.config.Descriptors > 0 && len(l.clients)+2*len(l.engines)+spare > l.config.Descriptors {
+			l.log.Warn("too many connections", zap.Int("clients", len(l.clients)), zap.Int("engines", len(l.engines)))
+			return nil, gnet.Close
+		}
+		l.clients[p.number] = p
+		l.post(router.ClientOpened{Client: p.number})
+	}
+	return nil, gnet.None
+}
+
+const spare = 24 // descriptors of the runtime, the logs, the listener and the name service
+
+// OnClose tells of a connection that ended without our asking for it.
+func (l *Loop) OnClose(c gnet.Conn, err error) gnet.Action {
+	p, ok := c.Context().(*peer)
+	if !ok {
+		return gnet.None
+	}
+	l.drop(p)
+	end := router.ClosedByPeer
+	if err != nil && !errors.Is(err, io.EOF) {
+		end = router.ResetByPeer
+	}
+	switch {
+	case p.kind == toNames && l.names == p: // an error on the socket, as when nobody listens there
+		l.names = nil
+		go l.dialNames()
+	case p.kind == toEngine && l.engines[p.number] == p:
+		delete(l.engines, p.number)
+		l.post(router.EngineEnded{Connection: p.number, End: end})
+	case p.kind == toClient && l.clients[p.number] == p:
+		delete(l.clients, p.number)
+		l.post(router.ClientEnded{Client: p.number, End: end})
+	}
+	return gnet.None
+}
+
+func (l *Loop) drop(p *peer) {
+	p.in.Release()
+	l.unread -= p.unread
+	p.unread = 0
+	delete(l.waiting, p)
+}
+
+// end closes a connection of ours; what it would tell of that is known already.
+func (l *Loop) end(p *peer) {
+	switch p.kind {
+	case toEngine:
+		delete(l.engines, p.number)
+	case toClient:
+		delete(l.clients, p.number)
+	}
+	if err := l.turn.Close(p.conn); err != nil {
+		l.log.Debug("close", zap.Error(err))
+	}
+}
+
+// OnTraffic reads all there is.
+func (l *Loop) OnTraffic(c gnet.Conn) gnet.Action {
+	p, ok := c.Context().(*peer)
+	if !ok {
+		return gnet.Close
+	}
+	data, err := c.Next(-1)
+	if err != nil || len(data) == 0 {
+		return gnet.None
+	}
+	if p.kind == toNames {
+		l.namesSaid(data)
+		return gnet.None
+	}
+	p.in.Write(data)
+	for l.here(p) {
+		event, err := next(p)
+		if err != nil {
+			l.log.Warn("can't be read", zap.Uint64("connection", p.number), zap.Uint8("kind", uint8(p.kind)), zap.Error(err))
+			l.broken(p, router.BadInput)
+			return gnet.None
+		}
+		if event == nil {
+			break
+		}
+		l.post(event)
+	}
+	if l.here(p) && p.in.Len() > buffers.Size && l.pool.Used()*buffers.Size > l.mostMemory {
+		l.broken(p, router.NoMemory)
+	}
+	return gnet.None
+}
+
+func (l *Loop) here(p *peer) bool { return l.clients[p.number] == p || l.engines[p.number] == p }
+
+func next(p *peer) (router.Event, error) {
+	if p.kind == toEngine {
+		reply, err := engines.Next(p.in)
+		if reply == nil {
+			return nil, err
+		}
+		return router.EngineSaid{Connection: p.number, Reply: reply}, nil
+	}
+	frame, err := clients.Next(p.in)
+	if frame == nil {
+		return nil, err
+	}
+	return router.ClientSaid{Client: p.number, Frame: frame}, nil
+}
+
+// broken ends a connection that is of no more use.
+func (l *Loop) broken(p *peer, end router.End) {
+	if p.kind == toClient && end == router.BadInput {
+		out := l.pool.Chain()
+		clients.WriteAnswer(out, 0, clients.Failed, 0, nil)
+		l.write(p, out)
+	}
+	if !l.here(p) {
+		return
+	}
+	l.end(p)
+	if p.kind == toEngine {
+		l.post(router.EngineEnded{Connection: p.number, End: end})
+	} else {
+		l.post(router.ClientEnded{Client: p.number, End: end})
+	}
+}
+
+func (l *Loop) namesSaid(data []byte) {
+	id, list, err := directory.Parse(data)
+	if err != nil {
+		l.log.Warn("name service", zap.Error(err))
+		return
+	}
+	l.post(router.ListAnswered{Query: id, List: list})
+}
+
+func (l *Loop) dialNames() {
+	time.Sleep(20 * time.Millisecond)
+	conn, err := net.Dial("udp", l.config.Resolver)
+	if err == nil {
+		_, err = l.turn.Enroll(gnet.NewContext(l.ctx, &peer{kind: toNames}), conn)
+	}
+	if err != nil {
+		l.log.Warn("name service", zap.Error(err))
+	}
+}
+
+// post brings an event to the router and does what it asks for. What comes of that meanwhile waits its turn.
+func (l *Loop) post(e router.Event) {
+	l.queue = append(l.queue, e)
+	if l.running {
+		return
+	}
+	l.running = true
+	for len(l.queue) > 0 {
+		e := l.queue[0]
+		l.queue = l.queue[1:]
+		for _, what := range l.router.Reduce(clock(), e) {
+			l.do(what)
+		}
+	}
+	l.queue, l.running = l.queue[:0], false
+	if _, last := e.(router.TurnEnded); !last && !l.armed && l.turn != nil {
+		// A task runs after all that is ready to be read, so the module is pulled when it knows all of that.
+		l.armed = true
+		l.execute(l.turnEnded)
+	}
+}
+
+func (l *Loop) turnEnded() error {
+	l.armed = false
+	for p := range l.waiting {
+		l.count(p)
+	}
+	l.post(router.TurnEnded{})
+	if l.ended && (len(l.waiting) == 0 || time.Now().After(l.endBy)) {
+		return errorx.ErrEngineShutdown
+	}
+	return nil
+}
+
+func (l *Loop) do(what router.Effect) {
+	switch e := what.(type) {
+	case router.WriteClient:
+		l.write(l.clients[e.Client], e.Data)
+	case router.WriteEngine:
+		l.write(l.engines[e.Connection], e.Data)
+	case router.CloseClient:
+		if p := l.clients[e.Client]; p != nil {
+			l.end(p)
+		}
+	case router.CloseEngine:
+		if p := l.engines[e.Connection]; p != nil {
+			l.end(p)
+		}
+	case router.Dial:
+		go l.dial(e)
+	case router.AskList:
+		if l.names != nil {
+			if _, err := l.names.conn.Write(directory.Query(e.Query)); err != nil {
+				l.log.Debug("name service", zap.Error(err))
+			}
+		}
+	case router.SetTimer:
+		l.setTimer(e.At)
+	case router.Log:
+		l.print(e)
+	case router.Exit:
+		l.ended, l.endBy = true, time.Now().Add(flushTime)
+		l.execute(l.flushed)
+	}
+}
+
+// flushed ends the loop once all is written, or nobody reads it.
+func (l *Loop) flushed() error {
+	if len(l.waiting) == 0 || time.Now().After(l.endBy) {
+		return errorx.ErrEngineShutdown
+	}
+	time.AfterFunc(10*time.Millisecond, func() { l.execute(l.turnEnded) })
+	return nil
+}
+
+func (l *Loop) setTimer(at float64) {
+	wait := max(time.Duration((at-clock())*float64(time.Second)), 0)
+	if l.timer != nil {
+		l.timer.Reset(wait)
+		return
+	}
+	l.timer = time.AfterFunc(wait, func() {
+		l.execute(func() error {
+			l.post(router.TimerFired{})
+			return nil
+		})
+	})
+}
+
+// write hands bytes to a peer. One who does not read is ended: what waits for it is bounded, alone and in all.
+func (l *Loop) write(p *peer, data *buffers.Chain) {
+	defer data.Release()
+	if p == nil {
+		return
+	}
+	if p.conn.OutboundBuffered()+data.Len() > mostUnread {
+		l.broken(p, router.Unread)
+		return
+	}
+	if _, err := p.conn.Writev(data.Parts()); err != nil {
+		return // OnClose has told
+	}
+	l.count(p)
+	if l.unread > l.mostMemory {
+		worst := p
+		for other := range l.waiting {
+			if other.unread > worst.unread {
+				worst = other
+			}
+		}
+		l.broken(worst, router.Unread)
+	}
+}
+
+func (l *Loop) count(p *peer) {
+	n := p.conn.OutboundBuffered()
+	l.unread += n - p.unread
+	if p.unread = n; n > 0 {
+		l.waiting[p] = struct{}{}
+	} else {
+		delete(l.waiting, p)
+	}
+}
+
+// dial runs beside the loop and hands it what came up.
+func (l *Loop) dial(e router.Dial) {
+	d := net.Dialer{Timeout: time.Duration(e.Within * float64(time.Second)), KeepAlive: -1}
+	conn, err := d.DialContext(l.ctx, "tcp", e.Address)
+	if err == nil {
+		_, err = l.turn.Enroll(gnet.NewContext(l.ctx, &peer{kind: toEngine, number: e.Connection}), conn)
+	}
+	if err == nil {
+		return
+	}
+	end := router.ResetByPeer
+	var timeout net.Error
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		end = router.RefusedDial
+	case errors.Is(err, syscall.EMFILE), errors.Is(err, syscall.ENFILE):
+		end = router.NoDescriptor
+	case errors.As(err, &timeout) && timeout.Timeout():
+		end = router.DialTimedOut
+	}
+	l.execute(func() error {
+		l.post(router.EngineEnded{Connection: e.Connection, End: end})
+		return nil
+	})
+}
+
+var levels = map[router.Level]zapcore.Level{router.Debug: zap.DebugLevel, router.Info: zap.InfoLevel,
+	router.Warn: zap.WarnLevel}
+
+func (l *Loop) print(e router.Log) {
+	ce := l.log.Check(levels[e.Level], e.Text)
+	if ce == nil {
+		return
+	}
+	fields := make([]zap.Field, 0, len(e.Fields)/2)
+	for i := 0; i+1 < len(e.Fields); i += 2 {
+		fields = append(fields, zap.Any(e.Fields[i].(string), e.Fields[i+1]))
+	}
+	ce.Write(fields...)
+}
--- /dev/null
+++ b/internal/router/end.go
@@ -0,0 +1,45 @@
+package router
+
+import "pitchfield/brain"
+
+// End is how a connection ended, or how it failed to come up. There is no other way.
+type End uint8
+
+// The ends.
+const (
+	RefusedDial   End = iota // nobody listens there
+	DialTimedOut             // it did not come up in time
+	NoDescriptor             // we may hold no more sockets
+	Unaddressed              // the list names no address
+	ClosedByPeer             // in order
+	ResetByPeer              // or any other error of the socket
+	BadInput                 // what came can't be read
+	Unread                   // the peer does not read what we write
+	NoMemory                 // what is not whole yet takes too much
+	ClosedIdle               // by us, with nothing open on it
+	ClosedSuspect            // by us, silent past a time limit
+	Stopped                  // this router ends
+	ends
+)
+
+var endNames = [ends]string{"refused dial", "dial timed out", "no descriptor", "unaddressed", "closed by peer",
+	"reset by peer", "bad input", "unread", "no memory", "closed idle", "closed suspect", "stopped"}
+
+func (e End) String() string { return endNames[e] }
+
+// outcomes is the one table from an end to what the module is told of a dispatch that was open on the connection.
+// Written: some of its bytes may have left, and from then on nothing proves that it never ran.
+var outcomes = [ends]struct{ written, unwritten brain.Ending }{
+	RefusedDial:   {brain.Broken, brain.Unconnected},
+	DialTimedOut:  {brain.Broken, brain.Unconnected},
+	NoDescriptor:  {brain.Broken, brain.NotSent},
+	Unaddressed:   {brain.Broken, brain.Unconnected},
+	ClosedByPeer:  {brain.Broken, brain.Unconnected},
+	ResetByPeer:   {brain.Broken, brain.Unconnected},
+	BadInput:      {brain.Broken, brain.NotSent},
+	Unread:        {brain.Broken, brain.NotSent},
+	NoMemory:      {brain.Broken, brain.NotSent},
+	ClosedIdle:    {brain.Broken, brain.NotSent},
+	ClosedSuspect: {brain.Broken, brain.NotSent},
+	Stopped:       {brain.Broken, brain.NotSent},
+}
--- /dev/null
+++ b/internal/router/router.go
@@ -0,0 +1,306 @@
+// Package router holds the state of the running router and the one reducer that changes it. It does no input or
+// output and knows no clock: events bring the time, and what is to be done comes back as effects.
+package router
+
+import (
+	"math"
+	"slices"
+	"strconv"
+
+	"pitchfield/brain"
+	"pitchfield/internal/buffers"
+	"pitchfield/internal/config"
+	"pitchfield/internal/directory"
+	"pitchfield/internal/engines"
+)
+
+// Facts of the protocol and the platform; seconds. Nothing here decides about a batch.
+const (
+	askEvery  = 0.1  // the list counts as told when it is sent, and a drain has to be known soon after
+	askAgain  = 0.04 // an answer may be lost
+	idleEarly = 0.8  // of the time after which engines close what is idle, lest a dispatch meets that close
+	quietStop = 0.75 // after a stop is asked for, batches still come for so long
+	mostStop  = 3.3  // after that the process may be killed
+)
+
+// Router is the state. It changes in Reduce alone.
+type Router struct {
+	brain    *brain.Router
+	settings config.Config
+	groups   map[string]*brain.ServiceGroup
+	pool     *buffers.Pool
+	out      []Effect
+	now      float64
+	begun    bool
+
+	engines     map[string]*engine
+	byBrain     map[*brain.Engine]*engine
+	connections map[uint64]*line
+	numbers     uint64 // of connections to engines and of probes
+	most        int    // connections to engines
+
+	clients map[uint64]*client
+	batches map[*brain.Batch]*batch
+	ids     uint64
+
+	timers  timers
+	timerAt float64
+	wakeAt  float64
+
+	serial  uint32
+	query   uint16
+	askedAt float64
+	waiting bool // for an answer with the list
+
+	stopAt float64 // 0: not stopping
+	exited bool
+}
+
+type engine struct {
+	brain.Engine
+	name, address string
+	pool          engines.Pool
+}
+
+// line is a connection to an engine with what has to go out once it is up.
+type line struct {
+	*engines.Connection
+	engine *engine
+	queue  []any // dispatches and probes, in order
+}
+
+type client struct {
+	number uint64
+	open   map[uint32]*batch
+	last   uint32
+	told   bool // that no new batch is wanted
+}
+
+// New starts a router; its first effects come with the first event.
+func New(c config.Config, pool *buffers.Pool, now float64) *Router {
+	r := &Router{brain: brain.New(c.Settings.Settings, c.Seed, now), settings: c, pool: pool, now: now,
+		groups: map[string]*brain.ServiceGroup{}, engines: map[string]*engine{},
+		byBrain: map[*brain.Engine]*engine{}, connections: map[uint64]*line{}, clients: map[uint64]*client{},
+		batches: map[*brain.Batch]*batch{}, timerAt: math.Inf(1), wakeAt: math.Inf(1), query: uint16(c.Seed)}
+	for _, g := range c.Settings.Groups {
+		r.groups[g.Name] = g
+	}
+	s := &r.settings.Settings
+	s.Multiplex = max(s.Multiplex, 1)
+	if s.DialTime <= 0 {
+		s.DialTime = 0.25
+	}
+	// Clients hold a third of the descriptors; a dial holds two for a moment, and the runtime needs some.
+	r.most = max((c.Descriptors-c.Descriptors/3-spareDescriptors)*2/3, 4)
+	r.brain.Clock(now)
+	r.listed(c.Known)
+	r.ask()
+	return r
+}
+
+const spareDescriptors = 48
+
+// Reduce takes one event and gives what is to be done. The list is used again by the next call.
+func (r *Router) Reduce(now float64, what Event) []Effect {
+	if r.begun {
+		r.out = r.out[:0]
+	}
+	r.begun = true
+	r.now = max(r.now, now)
+	r.brain.Clock(r.now)
+	switch e := what.(type) {
+	case ClientOpened:
+		r.clients[e.Client] = &client{number: e.Client, open: map[uint32]*batch{}}
+	case ClientSaid:
+		r.clientSaid(e.Client, e.Frame)
+	case ClientEnded:
+		r.clientEnded(e.Client, e.End)
+	case EngineOpened:
+		r.engineOpened(e.Connection)
+	case EngineSaid:
+		r.engineSaid(e.Connection, e.Reply)
+	case EngineEnded:
+		if l := r.connections[e.Connection]; l != nil {
+			r.lineEnded(l, e.End)
+		}
+	case ListAnswered:
+		r.listAnswered(e.Query, e.List)
+	case StopAsked:
+		r.stop()
+	case TimerFired:
+		r.timerAt = math.Inf(1)
+	case TurnEnded:
+		r.turn()
+	}
+	return r.out
+}
+
+func (r *Router) do(e Effect) { r.out = append(r.out, e) }
+
+func (r *Router) log(level Level, text string, fields ...any) {
+	r.do(Log{level, text, fields})
+}
+
+// turn is the end of a loop turn: what is due, then the module's decisions, then the next timer.
+func (r *Router) turn() {
+	for {
+		t, ok := r.timers.due(r.now)
+		if !ok {
+			break
+		}
+		r.due(t)
+	}
+	if r.now >= r.wakeAt {
+		r.wakeAt = math.Inf(1)
+		r.brain.Woken()
+	}
+	r.pull()
+	r.stopping()
+	if at := min(r.timers.next(), r.wakeAt); at < r.timerAt {
+		r.timerAt = at
+		r.do(SetTimer{at})
+	}
+}
+
+func (r *Router) due(t timer) {
+	switch what := t.what.(type) {
+	case *dispatch:
+		r.timedOut(what)
+	case *probe:
+		r.probed(what, false, "", true)
+	case *line:
+		r.idle(what)
+	case *client:
+	case asking:
+		if uint16(what) == r.query {
+			r.ask()
+		}
+	case stopCheck:
+	}
+}
+
+// pull does the module's decisions as they come.
+func (r *Router) pull() {
+	for {
+		d := r.brain.Next()
+		switch d.Kind {
+		case brain.Nothing:
+			return
+		case brain.Terms:
+			if b := r.batches[d.Batch]; b != nil {
+				b.memory = d.Memory
+			}
+		case brain.Dispatch:
+			if b := r.batches[d.Batch]; b != nil {
+				r.dispatch(b, r.byBrain[d.Engine], d.Number, d.Wait)
+			}
+		case brain.PushBack:
+			r.answer(r.batches[d.Batch], refused, d.Wait, nil)
+		case brain.Fail:
+			r.answer(r.batches[d.Batch], failed, 0, nil)
+		case brain.Cancel:
+			if b := r.batches[d.Batch]; b != nil && d.Number < len(b.dispatches) {
+				r.giveUp(b.dispatches[d.Number], brain.Withdrawn)
+			}
+		case brain.Probe:
+			r.probe(r.byBrain[d.Engine])
+		case brain.WakeAt:
+			r.wakeAt = min(r.wakeAt, d.At)
+		case brain.Subscribe: // the list is asked for all the time
+		case brain.Log:
+			r.log(Info, d.Text, "by", "decisions")
+		}
+	}
+}
+
+// The list of engines.
+
+type asking uint16
+
+func (r *Router) ask() {
+	r.query++
+	r.askedAt, r.waiting = r.now, true
+	r.do(AskList{r.query})
+	r.timers.add(r.now+askAgain, asking(r.query))
+}
+
+func (r *Router) listAnswered(query uint16, list directory.List) {
+	if query != r.query || !r.waiting { // late: a newer one is under way
+		if list.Serial <= r.serial {
+			return
+		}
+	} else {
+		r.waiting = false
+		r.query++ // the repeat is void
+		r.timers.add(r.askedAt+askEvery, asking(r.query))
+	}
+	if list.Serial > r.serial {
+		r.listed(list)
+	}
+}
+
+func (r *Router) listed(list directory.List) {
+	r.serial = list.Serial
+	var whole []*brain.Engine
+	there := map[*engine]bool{}
+	for _, e := range list.Engines {
+		known := r.engines[e.ID]
+		if known == nil {
+			known = &engine{name: e.ID, Engine: brain.Engine{ID: hash(e.ID)}}
+			known.pool.Engine = known.ID
+			r.engines[e.ID] = known
+			r.byBrain[&known.Engine] = known
+		}
+		if e.Address != "" {
+			known.address = e.Address
+		}
+		phase := brain.Ready
+		if e.Draining {
+			phase = brain.Draining
+		}
+		if known.Phase != phase || known.StartedAt != e.StartedAt {
+			r.log(Info, "engine listed", "engine", e.ID, "number", known.ID, "address", known.address,
+				"draining", e.Draining, "started", e.StartedAt, "serial", list.Serial)
+		}
+		s := &r.settings.Settings
+		known.Phase, known.StartedAt, known.Size, known.Cell = phase, e.StartedAt, e.Weight, e.Cell
+		known.Zone, known.Kind = slices.Index(s.Zones, e.Zone), max(slices.Index(s.Kinds, e.Kind), 0)
+		whole = append(whole, &known.Engine)
+		there[known] = true
+	}
+	r.brain.Listed(whole, true)
+	for name, e := range r.engines {
+		if there[e] {
+			continue
+		}
+		r.log(Info, "engine gone", "engine", name, "serial", list.Serial)
+		e.Phase = brain.Gone
+		for _, c := range slices.Clone(e.pool.Connections) {
+			if l := r.connections[c.Number]; l != nil && l.Idle() {
+				r.closeLine(l, ClosedIdle)
+			}
+		}
+		delete(r.engines, name)
+	}
+	for b, e := range r.byBrain {
+		if !there[e] && len(e.pool.Connections) == 0 {
+			delete(r.byBrain, b)
+		}
+	}
+}
+
+// hash gives an engine's number from its name, alike at every router.
+func hash(name string) uint32 {
+	h := uint32(2166136261)
+	for _, c := range []byte(name) {
+		h = (h ^ uint32(c)) * 16777619
+	}
+	return h
+}
+
+func (r *Router) number() uint64 {
+	r.numbers++
+	return r.numbers
+}
+
+func tag(n uint64) string { return "p" + strconv.FormatUint(n, 36) }
--- a/cmd/simhost/settings.go
+++ b/internal/settings/settings.go
@@ -1,4 +1,5 @@
-package main
+// Package settings turns the settings' JSON into those of the decision module and the facts its hosts need.
+package settings
 
 import (
 	"encoding/json"
@@ -10,10 +11,12 @@
 
 // options are the settings as the wire words them, in milliseconds.
 type options struct {
-	Zone      int    `json:"az"`
-	Balancers int    `json:"balancers"`
-	Index     *int   `json:"index"`
-	Discovery string `json:"discovery"`
+	Zone      int      `json:"az"`
+	Zones     []string `json:"dcs"`
+	Kinds     []string `json:"flavors"`
+	Balancers int      `json:"balancers"`
+	Index     *int     `json:"index"`
+	Discovery string   `json:"discovery"`
 	Grades    []struct {
 		Name        string   `json:"name"`
 		AimStretch  float64  `json:"aim-stretch"`
@@ -29,6 +32,7 @@
 		Flavors     []int    `json:"flavors-allowed"`
 	} `json:"grades"`
 	Customers []struct {
+		Name  string  `json:"name"`
 		Quota float64 `json:"quota-per-s"`
 	} `json:"customers"`
 	OverShare float64 `json:"over-share-worth"`
@@ -51,11 +55,16 @@
 		RetryAfter bool    `json:"retry-after"`
 		MaxRetry   float64 `json:"max-retry-after-ms"`
 		Attempts   int     `json:"attempts-cap"`
+		Dial       float64 `json:"dial-timeout-ms"`
+		Idle       float64 `json:"idle-close-ms"`
+		Multiplex  int     `json:"multiplex"`
+		MostHeld   int     `json:"most-held"`
 	} `json:"limits"`
 	Prices struct {
 		Probe float64 `json:"probe"`
 	} `json:"prices"`
 	Feedback struct {
+		How   string   `json:"how"`
 		Names []string `json:"names"`
 	} `json:"feedback"`
 	Rules struct {
@@ -91,14 +100,45 @@
 	return *p
 }
 
-// decodeSettings gives the module's settings and the names of the report's values in their order.
-func decodeSettings(text []byte) (brain.Settings, []string, error) {
+// Settings are the module's, and what its hosts are told besides. Times are seconds.
+type Settings struct {
+	brain.Settings
+	Reports               []string // the names of a report's values, in their order
+	Zones, Kinds, Clients []string
+	DialTime, IdleTime    float64
+	Multiplex, MostHeld   int
+	Loads                 bool // engines report their load
+}
+
+// Report fills the value with this name into a report; what nobody decides by is passed over.
+func Report(into *brain.Report, name string, value float64) {
+	switch name {
+	case "active", "inflight":
+		into.Held = value
+	case "waiting", "queue":
+		into.Waiting = value
+	case "cpu", "util":
+		into.Busy = value
+	case "x0":
+		into.Memory = value
+	case "x1":
+		into.Disks = value
+	}
+}
+
+// NoReport is one of which nothing is told.
+func NoReport() *brain.Report {
+	return &brain.Report{Held: -1, Waiting: -1, Busy: -1, Memory: -1, Disks: -1}
+}
+
+// Decode reads the settings.
+func Decode(text []byte) (Settings, error) {
 	var o options
 	if err := json.Unmarshal(text, &o); err != nil {
-		return brain.Settings{}, nil, fmt.Errorf("settings: %w", err)
+		return Settings{}, fmt.Errorf("settings: %w", err)
 	}
 	if len(o.Grades) == 0 {
-		return brain.Settings{}, nil, errors.New("settings: no grades")
+		return Settings{}, errors.New("settings: no grades")
 	}
 	index := -1
 	if o.Index != nil {
@@ -117,7 +157,7 @@
 		MustAsk:  o.Discovery != "push", Tick: o.Tick / 1000}
 	for i, g := range o.Grades {
 		if g.OnTime == nil || g.Deadline == nil {
-			return s, nil, fmt.Errorf("settings: grade %d lacks on-time-ms or deadline-ms", i)
+			return Settings{}, fmt.Errorf("settings: grade %d lacks on-time-ms or deadline-ms", i)
 		}
 		s.Groups = append(s.Groups, &brain.ServiceGroup{Name: g.Name, Effect: effects[g.Idempotency],
 			Scope: scopes[g.Group], Window: g.Window / 1000, Goal: *g.OnTime / 1000, GoalStretch: g.AimStretch,
@@ -128,8 +168,12 @@
 	for i, c := range o.Specifics.Cores {
 		s.EngineKinds = append(s.EngineKinds, brain.EngineKind{Cores: c, Memory: at(o.Specifics.Memory, i)})
 	}
+	var names []string
 	for _, c := range o.Customers {
 		s.Clients = append(s.Clients, brain.Client{Quota: c.Quota})
+		names = append(names, c.Name)
 	}
-	return s, o.Feedback.Names, nil
+	return Settings{Settings: s, Reports: o.Feedback.Names, Zones: o.Zones, Kinds: o.Kinds, Clients: names,
+		DialTime: o.Limits.Dial / 1000, IdleTime: o.Limits.Idle / 1000, Multiplex: o.Limits.Multiplex,
+		MostHeld: o.Limits.MostHeld, Loads: o.Feedback.How != "none" && len(o.Feedback.Names) > 0}, nil
 }
