--- /dev/null
+++ b/internal/engines/engines_test.go
@@ -0,0 +1,89 @@
+package engines
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"pitchfield/internal/buffers"
+)
+
+const done = "*4\r\n$2\r\nf1\r\n$4\r\nDONE\r\n$24\r\nsheets=2,toil=120,room=5\r\n$6\r\na\tb\r\n\n\r\n"
+
+func TestRepliesComeInPiecesAndTogether(t *testing.T) {
+	pool := &buffers.Pool{}
+	in := pool.Chain()
+	var got []*Reply
+	all := done + "*3\r\n$2\r\nf2\r\n$4\r\nWAIT\r\n$1\r\n-\r\n"
+	for i := range len(all) {
+		in.WriteString(all[i : i+1])
+		r, err := Next(in)
+		require.NoError(t, err)
+		if r != nil {
+			got = append(got, r)
+		}
+	}
+	require.Len(t, got, 2)
+	assert.Equal(t, "a\tb\r\n\n", got[0].Body.String(), "a line end inside a body ends nothing")
+	assert.Equal(t, Said{Pages: 2, Page: -1, Work: 0.12, Memory: 5}, got[0].Said())
+	assert.Equal(t, Full, got[1].Word)
+	got[0].Body.Release()
+	assert.Zero(t, pool.Used())
+}
+
+func TestWhatIsNoReplyIsAnError(t *testing.T) {
+	for _, text := range []string{"+OK\r\n", "*-1\r\n", "*99\r\n", "*1\r\n$1\r\na\r\n", "*2\r\n$9999999\r\n",
+		"*2\r\n$1\r\nabc", "*2\r\n$x\r\n", strings.Repeat("*", 30)} {
+		in := (&buffers.Pool{}).Chain()
+		in.WriteString(text)
+		_, err := Next(in)
+		assert.ErrorIs(t, err, ErrReply, "%q", text)
+	}
+}
+
+func TestFetchCarriesWhatTheClientSent(t *testing.T) {
+	pool := &buffers.Pool{}
+	out, text := pool.Chain(), pool.Chain()
+	text.WriteString("SELECT 1")
+	Fetch{ID: "f1", Group: "report", Mark: "k9", Wait: 0.2501, Memory: 95.2, Text: text}.Write(out)
+	assert.Equal(t, "*4\r\n$5\r\nfetch\r\n$2\r\nf1\r\n$40\r\nqueue=report,budget=251,uniq=k9,allot=96\r\n"+
+		"$8\r\nSELECT 1\r\n", out.String())
+	assert.Equal(t, 8, text.Len(), "the text stays for another dispatch")
+}
+
+func TestAnIDStandsOnceOnAConnection(t *testing.T) {
+	p := &Pool{}
+	first, second := p.Add(1, 0), p.Add(2, 0)
+	first.Up, second.Up = true, true
+	first.Open("a", 1)
+	assert.Same(t, first, p.Pick("b", 2), "the fuller one, so that others may close")
+	assert.Same(t, second, p.Pick("a", 2))
+	first.Close("a", true, 5)
+	assert.Same(t, second, p.Pick("a", 2), "a late answer may still come on the first")
+	first.Open("c", 1)
+	first.Open("d", 1)
+	assert.Same(t, second, p.Pick("e", 2), "the first is full")
+	second.Suspect = true
+	assert.Nil(t, p.Pick("e", 2))
+}
+
+func FuzzNext(f *testing.F) {
+	f.Add([]byte(done))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		pool := &buffers.Pool{}
+		in := pool.Chain()
+		in.Write(text)
+		for {
+			r, err := Next(in)
+			if r == nil || err != nil {
+				break
+			}
+			r.Said()
+			r.Body.Release()
+		}
+		in.Release()
+		assert.Zero(t, pool.Used())
+	})
+}
--- /dev/null
+++ b/internal/router/connections.go
@@ -0,0 +1,96 @@
+package router
+
+import (
+	"cmp"
+	"slices"
+
+	"pitchfield/brain"
+)
+
+// Connections to engines.
+
+// pick finds a connection for one more, or begins one.
+func (r *Router) pick(e *engine, id string) (*line, End) {
+	if c := e.pool.Pick(id, r.settings.Settings.Multiplex); c != nil {
+		return r.connections[c.Number], 0
+	}
+	if e.address == "" {
+		return nil, Unaddressed
+	}
+	if len(r.connections) >= r.most {
+		return nil, NoDescriptor
+	}
+	l := &line{Connection: e.pool.Add(r.number(), r.now), engine: e}
+	r.connections[l.Number] = l
+	r.do(Dial{l.Number, e.address, r.settings.Settings.DialTime})
+	return l, 0
+}
+
+func (r *Router) engineOpened(number uint64) {
+	l := r.connections[number]
+	if l == nil {
+		r.do(CloseEngine{number, ClosedIdle})
+		return
+	}
+	l.Up, l.Heard = true, r.now
+	queue := l.queue
+	l.queue = nil
+	for _, what := range queue {
+		r.send(l, what)
+	}
+	r.rest(l)
+}
+
+// rest looks after a connection on which nothing is open any more.
+func (r *Router) rest(l *line) {
+	if !l.Idle() || r.connections[l.Number] != l {
+		return
+	}
+	if l.Suspect || l.engine.Phase == brain.Gone {
+		r.closeLine(l, ClosedSuspect)
+		return
+	}
+	if idle := r.settings.Settings.IdleTime; idle > 0 {
+		r.timers.add(r.now+idle*idleEarly, l)
+	}
+}
+
+func (r *Router) idle(l *line) {
+	if r.connections[l.Number] == l && l.Idle() && r.now >= l.IdleAt+r.settings.Settings.IdleTime*idleEarly-1e-6 {
+		r.closeLine(l, ClosedIdle)
+	}
+}
+
+func (r *Router) closeLine(l *line, end End) {
+	r.do(CloseEngine{l.Number, end})
+	r.lineEnded(l, end)
+}
+
+// lineEnded ends all that was open on a connection, in the order it was sent.
+func (r *Router) lineEnded(l *line, end End) {
+	delete(r.connections, l.Number)
+	l.engine.pool.Remove(l.Connection)
+	open := l.Opens()
+	if len(open) > 0 {
+		r.log(Debug, "connection ended", "engine", l.engine.name, "end", end.String(), "open", len(open))
+	}
+	var dispatches []*dispatch
+	for _, what := range open {
+		switch w := what.(type) {
+		case *dispatch:
+			dispatches = append(dispatches, w)
+		case *probe:
+			r.probed(w, false, "", false)
+		}
+	}
+	slices.SortFunc(dispatches, func(a, b *dispatch) int {
+		return cmp.Or(cmp.Compare(a.sentAt, b.sentAt), cmp.Compare(a.batch.ID, b.batch.ID))
+	})
+	for _, d := range dispatches {
+		how := outcomes[end].unwritten
+		if d.written {
+			how = outcomes[end].written
+		}
+		r.ended(d, how, nil)
+	}
+}
--- /dev/null
+++ b/internal/router/probes.go
@@ -0,0 +1,54 @@
+package router
+
+import (
+	"slices"
+
+	"pitchfield/brain"
+	"pitchfield/internal/engines"
+	"pitchfield/internal/settings"
+)
+
+type probe struct {
+	engine *engine
+	line   *line
+	tag    string
+	ended  bool
+}
+
+func (r *Router) probe(e *engine) {
+	p := &probe{engine: e, tag: tag(r.number())}
+	l, _ := r.pick(e, p.tag)
+	if l == nil {
+		p.ended = true
+		r.brain.Probed(&e.Engine, false, nil)
+		return
+	}
+	p.line = l
+	l.Open(p.tag, p)
+	r.timers.add(r.now+r.settings.Settings.DialTime, p)
+	r.send(l, p)
+}
+
+func (r *Router) probed(p *probe, ok bool, load string, late bool) {
+	if p.ended {
+		return
+	}
+	p.ended = true
+	p.line.queue = slices.DeleteFunc(p.line.queue, func(w any) bool { return w == any(p) })
+	var rep *brain.Report
+	if ok && load != "" {
+		rep = report(load)
+	}
+	r.log(Debug, "probed", "engine", p.engine.name, "ok", ok, "load", load)
+	r.brain.Probed(&p.engine.Engine, ok, rep)
+	p.line.Close(p.tag, late, r.now)
+	r.rest(p.line)
+}
+
+func report(text string) *brain.Report {
+	rep := settings.NoReport()
+	engines.Each(text, ';', ':', func(name, value string) {
+		settings.Report(rep, name, engines.Number(value))
+	})
+	return rep
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -20,7 +20,9 @@
 	askAgain  = 0.04 // an answer may be lost
 	idleEarly = 0.8  // of the time after which engines close what is idle, lest a dispatch meets that close
 	quietStop = 0.75 // after a stop is asked for, batches still come for so long
-	mostStop  = 3.3  // after that the process may be killed
+	killAfter = 0.7  // the process may be killed so long after the longest time limit,
+	killLimit = 3.0  // which counts for no more than this
+	killEarly = 0.3  // and all must be answered before
 )
 
 // Router is the state. It changes in Reduce alone.
@@ -52,8 +54,8 @@
 	askedAt float64
 	waiting bool // for an answer with the list
 
-	stopAt float64 // 0: not stopping
-	exited bool
+	stopAt, killAt float64 // 0: not stopping
+	exited         bool
 }
 
 type engine struct {
--- a/internal/statement/statement.go
+++ b/internal/statement/statement.go
@@ -7,59 +7,73 @@
 	"strings"
 )
 
-// DataSet is the number behind the underscore in the name of the schema, as 17 in sales_17.orders; 0: none.
-// Strings, comments and the schema staging do not count; a quoted name does.
+// None is the data set of a text that names none.
+const None = -1
+
+// places are the words after which a table stands; other dotted names may be columns of an alias.
+var places = map[string]bool{"FROM": true, "JOIN": true, "INTO": true, "UPDATE": true, "TABLE": true, "USING": true,
+	"ONLY": true, "COPY": true}
+
+// DataSet is the number behind the underscore in the name of the schema, as 17 in sales_17.orders. Strings, comments
+// and the schema staging do not count; a quoted name does. Where a table stands counts before any other dotted name.
 func DataSet(text io.ByteReader) int {
 	s := scanner{in: text}
 	s.next()
-	schema := "" // the name before a dot, as long as nothing but white space came between
-	dotted := false
+	found := None
+	schema, table := "", false // the name before a dot, as long as nothing but white space came between
+	place := false
 	for s.ok {
 		switch c := s.c; {
 		case c == '\'':
 			s.quoted('\'')
-			schema, dotted = "", false
+			schema, place = "", false
 		case c == '"' || c == '`':
-			schema, dotted = s.name(s.quoted(c), schema, dotted)
+			schema, table = s.quoted(c), place
+			place = false
 		case c == '[':
-			schema, dotted = s.name(s.quoted(']'), schema, dotted)
+			schema, table = s.quoted(']'), place
+			place = false
 		case c == '-' || c == '/':
 			if !s.comment() {
-				schema, dotted = "", false
+				schema, place = "", false
 			}
 		case letter(c):
-			schema, dotted = s.name(s.word(), schema, dotted)
+			schema, table = s.word(), place
+			place = places[strings.ToUpper(schema)]
 		case c >= '0' && c <= '9':
 			s.word() // a number, with what clings to it
-			schema, dotted = "", false
+			schema, place = "", false
 		case c == '.':
-			if schema != "" && !dotted {
-				if n := number(schema); n > 0 {
+			if n := number(schema); n != None {
+				if table {
 					return n
 				}
+				if found == None {
+					found = n
+				}
 			}
-			dotted = schema != ""
+			place, schema = table, "" // the first of three names is a catalog
 			s.next()
 		case c == ' ' || c == '\t' || c == '\n' || c == '\r':
 			s.next()
 		default:
-			schema, dotted = "", false
+			schema, place = "", false
 			s.next()
 		}
 	}
-	return 0
+	return found
 }
 
 func number(schema string) int {
 	i := strings.LastIndexByte(schema, '_')
 	if i <= 0 || strings.EqualFold(schema[:i], "staging") {
-		return 0
+		return None
 	}
-	n, err := strconv.Atoi(schema[i+1:])
-	if err != nil || n < 0 {
-		return 0
+	n, err := strconv.ParseUint(schema[i+1:], 10, 31)
+	if err != nil {
+		return None
 	}
-	return n
+	return int(n)
 }
 
 type scanner struct {
@@ -73,14 +87,6 @@
 	s.c, s.ok = c, err == nil
 }
 
-// name takes a name: the first of a dotted pair is a schema, what follows the dot is not.
-func (s *scanner) name(n, _ string, dotted bool) (string, bool) {
-	if dotted {
-		return "", false
-	}
-	return n, false
-}
-
 // quoted reads past the end of what is quoted; the quote itself stands doubled inside.
 func (s *scanner) quoted(end byte) string {
 	var out strings.Builder
