Stories of the router against one fake host; a silent new connection is now told as such

Seen in the first story: a connection that came up and then fell silent was never suspect, since its coming up counted as heard after the dispatch's decision (dispatches.go, timedOut). The time of the write counts now.

--- a/internal/router/dispatches.go
+++ b/internal/router/dispatches.go
@@ -17,6 +17,7 @@
 	engine       *engine
 	line         *line
 	sentAt       float64
+	wroteAt      float64
 	endAt        float64
 	written      bool
 	ended        bool
@@ -50,7 +51,7 @@
 	out := r.pool.Chain()
 	switch w := what.(type) {
 	case *dispatch:
-		w.written = true
+		w.written, w.wroteAt = true, r.now
 		engines.Fetch{ID: w.batch.id, Group: w.batch.Group.Name, Mark: w.batch.mark, Wait: max(w.endAt-r.now, 0.001),
 			Memory: w.batch.memory, Text: w.batch.text}.Write(out)
 	case *probe:
@@ -91,7 +92,7 @@
 	if d.ended {
 		return
 	}
-	if l := d.line; l != nil && d.written && l.Heard < d.sentAt {
+	if l := d.line; l != nil && d.written && l.Heard <= d.wroteAt {
 		// It has brought nothing since: what is written next might lie in the same hole for long. What comes
 		// after goes on a new connection, which proves at once whether the engine can be reached.
 		l.Suspect = true
--- /dev/null
+++ b/internal/router/host_test.go
@@ -0,0 +1,141 @@
+package router
+
+import (
+	"encoding/binary"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"pitchfield/internal/buffers"
+	"pitchfield/internal/clients"
+	"pitchfield/internal/config"
+	"pitchfield/internal/directory"
+	"pitchfield/internal/engines"
+)
+
+// host is the fake host of the stories: it keeps what the router asks for and plays clients and engines.
+type host struct {
+	*Router
+	t       *testing.T
+	now     float64
+	pool    *buffers.Pool
+	did     []Effect
+	timer   float64
+	written map[uint64]string // by connection to an engine
+	answers map[uint32]string // by stream: code, fields and body
+	dials   []Dial
+	queries []uint16
+	ids     int
+}
+
+const grades = `{"grades":[
+ {"name":"lookup","on-time-ms":800,"deadline-ms":4000,"idempotency":"idempotent","worth":1},
+ {"name":"upload","on-time-ms":4000,"deadline-ms":9000,"idempotency":"at_most_once","worth":6}],
+ "specifics":{"cores-by-kind":[8],"memory-by-kind-mb":[16000],"dop":[1,2]},"dcs":["east"],"flavors":["std"],
+ "limits":{"attempts-cap":3,"dial-timeout-ms":250,"idle-close-ms":15000,"multiplex":2,"retry-after":true,
+ "max-retry-after-ms":500},"feedback":{"how":"probe","names":["waiting"]},"balancers":1,"index":0,
+ "rules":{"stop-sending-within-ms":250},"tick-ms":5}`
+
+func start(t *testing.T, engines ...directory.Engine) *host {
+	c, err := config.Parse([]byte(`{"listen":"127.0.0.1:1","seed":"9","limits":{"sockets":1024},"settings":` + grades + `}`))
+	require.NoError(t, err)
+	c.Known = directory.List{Serial: 1, Engines: engines}
+	h := &host{t: t, now: 100, pool: &buffers.Pool{}, timer: 1e9, written: map[uint64]string{}, answers: map[uint32]string{}}
+	h.Router = New(c, h.pool, h.now)
+	h.tell(ClientOpened{1})
+	return h
+}
+
+func east(id string) directory.Engine {
+	return directory.Engine{ID: id, Address: "10.0.0.1:80", Zone: "east", Kind: "std", Weight: 1}
+}
+
+// tell brings events of one loop turn.
+func (h *host) tell(events ...Event) {
+	for _, e := range append(events, TurnEnded{}) {
+		for _, what := range h.Reduce(h.now, e) {
+			h.did = append(h.did, what)
+			switch w := what.(type) {
+			case Dial:
+				h.dials = append(h.dials, w)
+			case SetTimer:
+				h.timer = w.At
+			case AskList:
+				h.queries = append(h.queries, w.Query)
+			case WriteEngine:
+				h.written[w.Connection] += w.Data.String()
+				w.Data.Release()
+			case WriteClient:
+				h.read(w.Data.String())
+				w.Data.Release()
+			}
+		}
+	}
+}
+
+func (h *host) read(text string) {
+	for len(text) > 0 {
+		size := int(binary.LittleEndian.Uint32([]byte(text)))
+		if stream := binary.LittleEndian.Uint32([]byte(text[5:])); text[4] == clients.Answer {
+			assert.NotContains(h.t, h.answers, stream, "a second answer")
+			h.answers[stream] = text[9 : 4+size]
+		}
+		text = text[4+size:]
+	}
+}
+
+func (h *host) pass(seconds float64) {
+	for end := h.now + seconds; ; {
+		if h.now = max(h.now, min(h.timer, end)); h.now == end {
+			return
+		}
+		h.timer = 1e9
+		h.tell(TimerFired{})
+	}
+}
+
+// batch sends one and gives its stream and id.
+func (h *host) batch(group string, left int) (uint32, string) {
+	h.ids++
+	id := "f" + strconv.Itoa(h.ids)
+	body := h.pool.Chain()
+	body.WriteString("SELECT 1 FROM a_3.b")
+	h.tell(ClientSaid{1, &clients.Frame{Type: clients.Ask, Stream: uint32(h.ids), Body: body,
+		Fields: map[string]string{"c": group, "i": id, "d": strconv.Itoa(left)}}})
+	return uint32(h.ids), id
+}
+
+// up lets the last dial come up.
+func (h *host) up() uint64 {
+	require.NotEmpty(h.t, h.dials)
+	number := h.dials[len(h.dials)-1].Connection
+	h.tell(EngineOpened{number})
+	return number
+}
+
+func (h *host) say(connection uint64, id string, word engines.Word, fields, body string) {
+	b := h.pool.Chain()
+	b.WriteString(body)
+	h.tell(EngineSaid{connection, &engines.Reply{ID: id, Word: word, Fields: fields, Body: b}})
+}
+
+func (h *host) fetches(id string) (n int) {
+	for _, text := range h.written {
+		n += strings.Count(text, "fetch\r\n$"+strconv.Itoa(len(id))+"\r\n"+id+"\r\n")
+	}
+	return n
+}
+
+func (h *host) closed() (ends []End) {
+	for _, what := range h.did {
+		if c, ok := what.(CloseEngine); ok {
+			ends = append(ends, c.End)
+		}
+	}
+	return ends
+}
+
+const ok, refusal, failure = "\x00\x00", "\x0b", "\x05\x00"
--- /dev/null
+++ b/internal/router/router_test.go
@@ -0,0 +1,250 @@
+package router
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"pitchfield/brain"
+	"pitchfield/internal/clients"
+	"pitchfield/internal/directory"
+	"pitchfield/internal/engines"
+)
+
+func TestAnAnswerIsFramedOnceAllPagesAreThere(t *testing.T) {
+	h := start(t, east("s-1"))
+	stream, id := h.batch("lookup", 2000)
+	c := h.up()
+	assert.Contains(t, h.written[c], "queue=lookup,budget=1")
+	h.say(c, id, engines.Done, "sheets=3,toil=80,room=40", "a\n")
+	assert.Contains(t, h.written[c], "more\r\n$2\r\nf1\r\n$1\r\n1\r\n")
+	h.say(c, id, engines.More, "sheet=2", "c\n")
+	assert.Empty(t, h.answers, "a page is missing")
+	h.say(c, id, engines.More, "sheet=1", "b\n")
+	assert.Equal(t, ok+"a\nb\nc\n", h.answers[stream])
+	h.say(c, id, engines.More, "sheet=1", "b\n")
+	assert.Zero(t, h.pool.Used(), "nothing is kept")
+	assert.Empty(t, h.batches)
+}
+
+func TestALostPageMayHaveRun(t *testing.T) {
+	h := start(t, east("s-1"))
+	stream, id := h.batch("upload", 5000)
+	again, id2 := h.batch("lookup", 3000)
+	c := h.up()
+	h.say(c, id, engines.Done, "sheets=2", "a\n")
+	h.say(c, id2, engines.Done, "sheets=2", "a\n")
+	h.tell(EngineEnded{c, ResetByPeer})
+	assert.Equal(t, failure, h.answers[stream], "once-only: an error, and no other dispatch")
+	c = h.up()
+	h.say(c, id2, engines.Done, "sheets=1", "z\n")
+	assert.Equal(t, ok+"z\n", h.answers[again], "repeatable: from its first page on")
+}
+
+func TestWhatNeverLeftNeverRan(t *testing.T) {
+	for _, end := range []End{RefusedDial, DialTimedOut, NoDescriptor} {
+		h := start(t, east("s-1"), east("s-2"))
+		stream, id := h.batch("upload", 5000)
+		h.tell(EngineEnded{h.dials[0].Connection, end})
+		require.Len(t, h.dials, 2, "once-only goes on after %s", end)
+		h.say(h.up(), id, engines.Done, "sheets=1", "a\n")
+		assert.Equal(t, ok+"a\n", h.answers[stream])
+		assert.Equal(t, 1, h.fetches(id))
+	}
+}
+
+func TestWhatWasWrittenMayHaveRun(t *testing.T) {
+	for _, end := range []End{ClosedByPeer, ResetByPeer, BadInput, Unread} {
+		h := start(t, east("s-1"), east("s-2"))
+		stream, id := h.batch("upload", 5000)
+		h.tell(EngineEnded{h.up(), end})
+		h.pass(1)
+		assert.Equal(t, failure, h.answers[stream], end.String())
+		assert.Equal(t, 1, h.fetches(id))
+	}
+}
+
+func TestEveryEndHasItsOutcomes(t *testing.T) {
+	for e := range ends {
+		assert.NotEmpty(t, e.String())
+		assert.Equal(t, brain.Broken, outcomes[e].written, "nothing proves that it never ran: %s", e)
+		assert.Contains(t, []brain.Ending{brain.Unconnected, brain.NotSent}, outcomes[e].unwritten, e.String())
+	}
+}
+
+func TestALateAnswerIsDropped(t *testing.T) {
+	h := start(t, east("s-1"))
+	stream, id := h.batch("upload", 1000)
+	c := h.up()
+	h.pass(1.1)
+	assert.Equal(t, failure, h.answers[stream])
+	assert.Contains(t, h.written[c], "abort\r\n$2\r\nf1")
+	h.say(c, id, engines.Done, "sheets=1", "late\n")
+	assert.Equal(t, failure, h.answers[stream])
+	assert.Zero(t, h.pool.Used())
+}
+
+// Clients leave on the dot, and a final answer of the last millisecond came too late for them.
+func TestTheAnswerLeavesBeforeTheClientDoes(t *testing.T) {
+	h := start(t, east("s-1"))
+	stream, _ := h.batch("upload", 1000)
+	h.up()
+	h.pass(0.97)
+	assert.Equal(t, failure, h.answers[stream])
+}
+
+// A machine that is cut off leaves its connections open and silent; what is written there lies for long.
+func TestASilentConnectionTakesNothingNew(t *testing.T) {
+	h := start(t, east("s-1"))
+	h.batch("upload", 1000)
+	h.up()
+	h.pass(1.1)
+	assert.Equal(t, []End{ClosedSuspect}, h.closed())
+	h.batch("lookup", 3000)
+	assert.Len(t, h.dials, 2)
+}
+
+func TestPushedBackByTheEngineItGoesOn(t *testing.T) {
+	h := start(t, east("s-1"))
+	stream, id := h.batch("upload", 5000)
+	c := h.up()
+	h.say(c, id, engines.Full, "-", "")
+	h.pass(0.3)
+	require.Equal(t, 2, h.fetches(id), "a full engine has not run it")
+	h.say(c, id, engines.Broke, "-", "")
+	assert.Equal(t, failure, h.answers[stream], "an error may have run")
+}
+
+func TestAClientThatLeavesGetsNoAnswer(t *testing.T) {
+	h := start(t, east("s-1"))
+	stream, id := h.batch("lookup", 2000)
+	_, other := h.batch("lookup", 2000)
+	c := h.up()
+	h.tell(ClientSaid{1, &clients.Frame{Type: clients.Leave, Stream: stream}})
+	h.say(c, id, engines.Done, "sheets=4", "a\n")
+	assert.Contains(t, h.written[c], "done\r\n$2\r\nf1", "nobody wants the pages")
+	h.tell(ClientEnded{1, ClosedByPeer})
+	h.say(c, other, engines.Done, "sheets=1", "a\n")
+	assert.Empty(t, h.answers)
+	assert.Empty(t, h.batches)
+	assert.Zero(t, h.pool.Used())
+}
+
+func TestBadInputEndsAtMostItsConnection(t *testing.T) {
+	h := start(t, east("s-1"))
+	stream, id := h.batch("nobody's", 2000)
+	assert.Equal(t, failure, h.answers[stream], "an unknown service group")
+	h.tell(ClientOpened{2})
+	h.tell(ClientSaid{2, &clients.Frame{Type: 77, Stream: 5, Body: h.pool.Chain()}})
+	assert.Equal(t, failure, h.answers[0])
+	stream, id = h.batch("lookup", 2000)
+	c := h.up()
+	h.say(c, "nobody", engines.Done, "sheets=x", "a")
+	h.say(c, id, engines.More, "sheet=7", "a")
+	h.say(c, id, engines.Unknown, "", "a")
+	h.say(c, id, engines.Done, "sheets=1", "a\n")
+	assert.Equal(t, ok+"a\n", h.answers[stream])
+}
+
+func TestConnectionsCarrySoManyAndCloseBeforeTheEngineDoes(t *testing.T) {
+	h := start(t, east("s-1"))
+	_, one := h.batch("lookup", 2000)
+	_, two := h.batch("lookup", 2000)
+	_, three := h.batch("lookup", 2000)
+	require.Len(t, h.dials, 2, "two on each")
+	for _, d := range h.dials {
+		h.tell(EngineOpened{d.Connection})
+		for _, id := range []string{one, two, three} {
+			h.say(d.Connection, id, engines.Done, "sheets=1", "a\n")
+		}
+	}
+	h.pass(11.9)
+	assert.Empty(t, h.closed())
+	h.pass(2.5)
+	assert.Equal(t, []End{ClosedIdle}, h.closed()[:1])
+}
+
+func TestTheListIsAskedForUntilItIsAnswered(t *testing.T) {
+	h := start(t, east("s-1"), east("s-2"))
+	first := h.queries[0]
+	h.pass(0.09)
+	require.GreaterOrEqual(t, len(h.queries), 3, "lost answers are asked again")
+	drained := east("s-1")
+	drained.Draining = true
+	h.tell(ListAnswered{h.queries[len(h.queries)-1], directory.List{Serial: 4, Engines: []directory.Engine{drained, east("s-3")}}})
+	assert.Equal(t, brain.Draining, h.engines["s-1"].Phase)
+	assert.NotContains(t, h.engines, "s-2", "gone is what a whole answer lacks")
+	h.tell(ListAnswered{first, directory.List{Serial: 2, Engines: []directory.Engine{east("s-1")}}})
+	assert.Equal(t, brain.Draining, h.engines["s-1"].Phase, "an old answer that comes late")
+	for range 3 {
+		h.batch("lookup", 2000)
+	}
+	for _, d := range h.dials {
+		assert.Equal(t, "s-3", h.connections[d.Connection].engine.name, "nothing new where it drains")
+	}
+}
+
+func TestAnAddressMayBeAnothersNext(t *testing.T) {
+	h := start(t, east("s-1"))
+	_, id := h.batch("lookup", 2000)
+	c := h.up()
+	h.say(c, id, engines.Done, "sheets=1", "a\n")
+	h.tell(ListAnswered{h.queries[0], directory.List{Serial: 2, Engines: []directory.Engine{east("s-2")}}})
+	assert.Equal(t, []End{ClosedIdle}, h.closed())
+	h.batch("lookup", 2000)
+	assert.Len(t, h.dials, 2, "the old connection is not the new engine's")
+}
+
+func TestAtTheLimitOfDescriptorsBatchesStillEndWell(t *testing.T) {
+	h := start(t, east("s-1"))
+	h.most = 1
+	h.batch("lookup", 2000)
+	h.batch("lookup", 2000)
+	stream, _ := h.batch("lookup", 2000)
+	require.Len(t, h.dials, 1)
+	h.pass(2)
+	assert.Equal(t, refusal, h.answers[stream][:1])
+}
+
+func TestAStopTakesAndAnswersAllThatStillComes(t *testing.T) {
+	h := start(t, east("s-1"))
+	early, id := h.batch("lookup", 2000)
+	c := h.up()
+	h.tell(StopAsked{})
+	h.tell(ClientSaid{1, &clients.Frame{Type: clients.AskReady, Stream: 99, Body: h.pool.Chain()}})
+	h.pass(0.5)
+	late, _ := h.batch("lookup", 2000)
+	h.say(c, id, engines.Done, "sheets=1", "a\n")
+	assert.Equal(t, ok+"a\n", h.answers[early])
+	stuck, _ := h.batch("upload", 9000)
+	h.pass(2.0)
+	assert.Contains(t, h.answers, late)
+	assert.NotContains(t, h.did, Exit{}, "one is still out")
+	h.pass(1)
+	assert.Equal(t, failure, h.answers[stuck], "before the kill")
+	assert.Contains(t, h.did, Exit{})
+}
+
+func TestAQuietRouterStopsOnceNothingMoreCanCome(t *testing.T) {
+	h := start(t, east("s-1"))
+	h.tell(StopAsked{})
+	h.pass(0.6)
+	assert.NotContains(t, h.did, Exit{})
+	h.pass(0.3)
+	assert.Contains(t, h.did, Exit{})
+}
+
+func TestAProbeBringsTheEnginesReport(t *testing.T) {
+	h := start(t, east("s-1"))
+	h.tell()
+	p := func() *probe {
+		h.probe(h.engines["s-1"])
+		return h.connections[h.numbers].Opens()[0].(*probe)
+	}()
+	h.tell(EngineOpened{p.line.Number})
+	assert.Contains(t, h.written[p.line.Number], "stats\r\n")
+	h.say(p.line.Number, p.tag, engines.Fit, "use=queue:3;x0:0.25", "")
+	assert.True(t, p.ended)
+	assert.Equal(t, &brain.Report{Held: -1, Waiting: 3, Busy: -1, Memory: 0.25, Disks: -1}, report("queue:3;x0:0.25"))
+}
