Integration tests start the program and speak over sockets; an example with a toy world

Clients are let in up to half of the descriptors: gnet ends its loop where accept finds none, which a test with that limit in force would show.

--- /dev/null
+++ b/cmd/pitchfield/main_test.go
@@ -0,0 +1,226 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"pitchfield/internal/standin"
+)
+
+// The test program is the router too: started with this variable it is main.
+const asProgram = "PITCHFIELD_AS_PROGRAM"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(asProgram) != "" {
+		main()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+const (
+	patience = 20 * time.Second // no time is asserted: only that it comes at all
+	left     = 8 * time.Second
+	grades   = `{"grades":[{"name":"lookup","on-time-ms":8000,"deadline-ms":8000,"idempotency":"idempotent","worth":1},
+{"name":"once","on-time-ms":8000,"deadline-ms":8000,"idempotency":"at_most_once","worth":1}],
+"specifics":{"cores-by-kind":[8],"memory-by-kind-mb":[16000],"dop":[1,1]},"dcs":["hall"],"flavors":["std"],
+"limits":{"attempts-cap":3,"dial-timeout-ms":250,"idle-close-ms":15000,"multiplex":8,"retry-after":true,
+"max-retry-after-ms":500},"feedback":{"how":"none"},"balancers":1,"index":0,"tick-ms":5}`
+)
+
+type program struct {
+	*exec.Cmd
+	t       *testing.T
+	address string
+	names   *standin.Names
+	log     strings.Builder
+}
+
+// launch starts the program with the engines that the name service lists, and waits until it is ready.
+func launch(t *testing.T, engines ...*standin.Engine) *program {
+	names, err := standin.NewNames("127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { names.Close() })
+	free, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	p := &program{t: t, address: free.Addr().String(), names: names}
+	free.Close()
+	p.list(engines...)
+	config, err := json.Marshal(map[string]any{"name": "n1", "listen": p.address, "seed": "8c1f30d27a5be964",
+		"limits":   map[string]any{"cores": 1, "memory_mb": 192, "sockets": 256},
+		"resolver": names.LocalAddr().String(), "known": map[string]any{"pos": 0, "entries": []any{}},
+		"settings": json.RawMessage(grades)})
+	require.NoError(t, err)
+	path := filepath.Join(t.TempDir(), "config.json")
+	require.NoError(t, os.WriteFile(path, config, 0o600))
+	p.Cmd = exec.Command("/bin/sh", "-c", `ulimit -n 256 && exec "$0"`, os.Args[0])
+	p.Env = append(os.Environ(), asProgram+"=1", "RELAY_CONFIG="+path)
+	p.Stderr = &p.log
+	require.NoError(t, p.Start())
+	t.Cleanup(func() { p.Process.Kill() })
+	require.Eventually(t, func() bool {
+		c, err := standin.Dial(p.address)
+		if err != nil {
+			return false
+		}
+		defer c.Close()
+		c.Write(standin.Frame(20, 1, []string{}, ""))
+		a, err := c.Next(time.Second)
+		return err == nil && a.Type == 21 && a.Code == 0
+	}, patience, 20*time.Millisecond)
+	return p
+}
+
+func (p *program) list(engines ...*standin.Engine) {
+	var hosts []standin.Host
+	for i, e := range engines {
+		hosts = append(hosts, standin.Host{ID: fmt.Sprintf("s-%d", i), Zone: "hall", Kind: "std", Address: e.Addr().String()})
+	}
+	p.names.Set(hosts...)
+}
+
+func (p *program) client() *standin.Client {
+	c, err := standin.Dial(p.address)
+	require.NoError(p.t, err)
+	p.t.Cleanup(func() { c.Close() })
+	return c
+}
+
+func (p *program) answers(c *standin.Client, n int) map[uint32]standin.Answer {
+	out := map[uint32]standin.Answer{}
+	for len(out) < n {
+		a, err := c.Next(patience)
+		require.NoError(p.t, err)
+		if a.Type == 11 {
+			require.NotContains(p.t, out, a.Stream)
+			out[a.Stream] = a
+		}
+	}
+	return out
+}
+
+func engine(t *testing.T, answer func(standin.Request) [][]string) *standin.Engine {
+	e, err := standin.NewEngine("127.0.0.1:0", answer)
+	require.NoError(t, err)
+	t.Cleanup(func() { e.Close() })
+	return e
+}
+
+func TestBatchesGoThroughTheProgram(t *testing.T) {
+	e := engine(t, nil)
+	p := launch(t, e)
+	c := p.client()
+	for i := range uint32(8) {
+		require.NoError(t, c.Ask(i+1, "lookup", fmt.Sprintf("f%d", i), left, "SELECT 1 FROM a_3.b"))
+	}
+	for _, a := range p.answers(c, 8) {
+		assert.Equal(t, uint8(0), a.Code)
+		assert.Equal(t, "hello\tfrom\tpage 0\nhello\tfrom\tpage 1\n", a.Body)
+	}
+	require.Len(t, e.Seen("fetch"), 8)
+	assert.Equal(t, "SELECT 1 FROM a_3.b", e.Seen("fetch")[0][3])
+	assert.Contains(t, e.Seen("fetch")[0][2], "queue=lookup,budget=")
+}
+
+func TestAnEngineThatDiesMidwayEndsOnceOnlyBatchesInAnError(t *testing.T) {
+	hold := make(chan struct{})
+	dying := engine(t, func(r standin.Request) [][]string { <-hold; return nil })
+	t.Cleanup(func() { close(hold) })
+	p := launch(t, dying)
+	c := p.client()
+	require.NoError(t, c.Ask(1, "once", "f1", left, "INSERT INTO a_3.b SELECT 1"))
+	require.Eventually(t, func() bool { return len(dying.Seen("fetch")) == 1 }, patience, 10*time.Millisecond)
+	dying.Drop()
+	a := p.answers(c, 1)[1]
+	assert.Equal(t, uint8(5), a.Code, "it may have run")
+	assert.Len(t, dying.Seen("fetch"), 1)
+}
+
+func TestBadInputLeavesTheProgramUp(t *testing.T) {
+	p := launch(t, engine(t, nil))
+	for _, text := range []string{"GET / HTTP/1.1\r\n\r\n", "\x00\x00\x00\x00\x00", string(standin.Frame(99, 1, nil, "?")),
+		string(standin.Frame(10, 0, []string{}, ""))} {
+		c := p.client()
+		c.Write([]byte(text))
+		a, err := c.Next(patience)
+		require.NoError(t, err)
+		assert.Equal(t, []any{uint8(11), uint32(0), uint8(5)}, []any{a.Type, a.Stream, a.Code})
+		_, err = c.Next(patience)
+		assert.Error(t, err, "the connection ends")
+	}
+	c := p.client()
+	require.NoError(t, c.Ask(1, "lookup", "f1", left, "SELECT 1"))
+	assert.Equal(t, uint8(0), p.answers(c, 1)[1].Code)
+}
+
+func TestTooManyConnectionsDoNotEndTheProgram(t *testing.T) {
+	p := launch(t, engine(t, nil))
+	first := p.client()
+	var last *standin.Client
+	for range 400 {
+		if c, err := standin.Dial(p.address); err == nil {
+			defer c.Close()
+			last = c
+		}
+	}
+	_, err := last.Next(patience)
+	require.ErrorIs(t, err, io.EOF, "one too many")
+	require.NoError(t, first.Ask(1, "lookup", "f1", left, "SELECT 1"))
+	assert.Equal(t, uint8(0), p.answers(first, 1)[1].Code)
+}
+
+func TestAStopAnswersWhatWasTakenAndEndsWell(t *testing.T) {
+	p := launch(t, engine(t, func(r standin.Request) [][]string {
+		if r[0] == "fetch" {
+			time.Sleep(200 * time.Millisecond)
+		}
+		return standin.Toy(r)
+	}))
+	c := p.client()
+	require.NoError(t, c.Ask(1, "lookup", "f1", left, "SELECT 1"))
+	a, err := c.Next(50 * time.Millisecond)
+	require.Error(t, err, "still out: %v", a)
+	require.NoError(t, p.Process.Signal(syscall.SIGTERM))
+	a, err = c.Next(patience)
+	require.NoError(t, err)
+	assert.Equal(t, uint8(30), a.Type, "no new batch here")
+	late := p.client()
+	require.NoError(t, late.Ask(1, "lookup", "f2", left, "SELECT 1"))
+	assert.Equal(t, uint8(0), p.answers(late, 1)[1].Code, "taken all the same")
+	assert.Equal(t, uint8(0), p.answers(c, 1)[1].Code)
+	assert.NoError(t, p.Wait(), p.log.String())
+}
+
+func TestAnEngineThatIsGoneGetsNothingNew(t *testing.T) {
+	old, fresh := engine(t, nil), engine(t, nil)
+	p := launch(t, old)
+	p.list()
+	p.names.Set(standin.Host{ID: "s-new", Zone: "hall", Kind: "std", Address: fresh.Addr().String()})
+	c := p.client()
+	i := uint32(0)
+	require.Eventually(t, func() bool {
+		i++
+		require.NoError(t, c.Ask(i, "lookup", fmt.Sprintf("f%d", i), left, "SELECT 1"))
+		p.answers(c, 1)
+		return len(fresh.Seen("fetch")) > 0
+	}, patience, 20*time.Millisecond)
+	before := len(old.Seen("fetch"))
+	for range 3 {
+		i++
+		require.NoError(t, c.Ask(i, "lookup", fmt.Sprintf("f%d", i), left, "SELECT 1"))
+		p.answers(c, 1)
+	}
+	assert.Len(t, old.Seen("fetch"), before)
+}
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -152,7 +152,7 @@
 		l.post(router.EngineOpened{Connection: p.number})
 	case toClient:
 		// gnet ends its loop where accept finds no descriptor, so a connection too many is closed at once.
-		if l.config.Descriptors > 0 && len(l.clients)+2*len(l.engines)+spare > l.config.Descriptors {
+		if most := l.config.Descriptors / 2; most > 0 && len(l.clients) >= most {
 			l.log.Warn("too many connections", zap.Int("clients", len(l.clients)), zap.Int("engines", len(l.engines)))
 			return nil, gnet.Close
 		}
@@ -162,8 +162,6 @@
 	return nil, gnet.None
 }
 
-const spare = 24 // descriptors of the runtime, the logs, the listener and the name service
-
 // OnClose tells of a connection that ended without our asking for it.
 func (l *Loop) OnClose(c gnet.Conn, err error) gnet.Action {
 	p, ok := c.Context().(*peer)
--- a/internal/router/connections.go
+++ b/internal/router/connections.go
@@ -17,9 +17,10 @@
 	if e.address == "" {
 		return nil, Unaddressed
 	}
-	if len(r.connections) >= r.most {
+	if len(r.connections)+r.dialing+2 > r.most {
 		return nil, NoDescriptor
 	}
+	r.dialing++
 	l := &line{Connection: e.pool.Add(r.number(), r.now), engine: e}
 	r.connections[l.Number] = l
 	r.do(Dial{l.Number, e.address, r.settings.Settings.DialTime})
@@ -32,6 +33,7 @@
 		r.do(CloseEngine{number, ClosedIdle})
 		return
 	}
+	r.dialing--
 	l.Up, l.Heard = true, r.now
 	queue := l.queue
 	l.queue = nil
@@ -69,6 +71,9 @@
 // lineEnded ends all that was open on a connection, in the order it was sent.
 func (r *Router) lineEnded(l *line, end End) {
 	delete(r.connections, l.Number)
+	if !l.Up {
+		r.dialing--
+	}
 	l.engine.pool.Remove(l.Connection)
 	open := l.Opens()
 	if len(open) > 0 {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -39,7 +39,8 @@
 	byBrain     map[*brain.Engine]*engine
 	connections map[uint64]*line
 	numbers     uint64 // of connections to engines and of probes
-	most        int    // connections to engines
+	most        int    // descriptors for connections to engines
+	dialing     int    // connections that are not up yet; each takes a second descriptor for a moment
 
 	clients map[uint64]*client
 	batches map[*brain.Batch]*batch
@@ -92,8 +93,8 @@
 	if s.DialTime <= 0 {
 		s.DialTime = 0.25
 	}
-	// Clients hold a third of the descriptors; a dial holds two for a moment, and the runtime needs some.
-	r.most = max((c.Descriptors-c.Descriptors/3-spareDescriptors)*2/3, 4)
+	// Clients are let in up to half of the descriptors, though they should hold a third; the runtime needs some.
+	r.most = max(c.Descriptors-c.Descriptors/2-spareDescriptors, 4)
 	r.brain.Clock(now)
 	r.listed(c.Known)
 	r.ask()
