--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -24,10 +24,12 @@
 )
 
 const (
-	mostUnread  = 2 << 20 // bytes that a peer may leave unread: more than all answers of one connection
-	memoryShare = 0.25    // of the memory limit, for what peers leave unread, and as much for what is not whole
+	peerUnread  = 2 << 20 // bytes that a peer may leave unread: more than all answers of one connection
+	unreadShare = 0.2     // of the memory limit, for what peers leave unread
+	wholeShare  = 0.4     // and for all that is held, beyond which nothing that is not whole is kept
 	flushTime   = 300 * time.Millisecond
 	noTick      = time.Hour
+	namesAgain  = 50 * time.Millisecond
 )
 
 type kind uint8
@@ -65,7 +67,8 @@
 	numbers          uint64
 	waiting          map[*peer]struct{} // with bytes that wait to be written
 	unread           int
-	mostMemory       int
+	mostUnread       int // of all peers, in bytes
+	mostHeld         int // in bytes
 
 	queue   []router.Event
 	running bool
@@ -79,19 +82,23 @@
 func Run(ctx context.Context, c config.Config, log *zap.Logger) error {
 	l := &Loop{config: c, log: log, ctx: context.WithoutCancel(ctx), pool: &buffers.Pool{},
 		there: make(chan struct{}), clients: map[uint64]*peer{}, engines: map[uint64]*peer{}, waiting: map[*peer]struct{}{},
-		mostMemory: int(memoryShare * float64(max(c.MemoryMB, 64)) * (1 << 20))}
+		mostUnread: share(unreadShare, c), mostHeld: share(wholeShare, c)}
 	l.router = router.New(c, l.pool, clock())
 	stop := context.AfterFunc(ctx, l.stop)
 	defer stop()
 	// Sharing the port is how gnet puts accepting into the one loop; without, it runs a second for that.
 	err := gnet.Run(l, "tcp://"+c.Listen, gnet.WithNumEventLoop(1), gnet.WithReusePort(true), gnet.WithReuseAddr(true),
-		gnet.WithTicker(true), gnet.WithLogger(log.Sugar()), gnet.WithWriteBufferCap(buffers.Size*4))
+		gnet.WithTicker(true), gnet.WithLoadBalancing(gnet.LeastConnections), gnet.WithLogger(log.Sugar()), gnet.WithWriteBufferCap(buffers.Size*4))
 	if err != nil {
 		return fmt.Errorf("serve on %s: %w", c.Listen, err)
 	}
 	return nil
 }
 
+func share(of float64, c config.Config) int {
+	return int(of * float64(max(c.MemoryMB, 64)) * (1 << 20))
+}
+
 // clock gives the Unix clock in seconds.
 func clock() float64 { return float64(time.Now().UnixMicro()) / 1e6 }
 
@@ -119,15 +126,33 @@
 
 // OnTick comes first when the loop is there; what it begins brings the loop itself to us.
 func (l *Loop) OnTick() (time.Duration, gnet.Action) {
-	conn, err := net.Dial("udp", l.config.Resolver)
-	if err == nil {
-		_, err = l.engine.Register(gnet.NewContext(gnet.NewNetConnContext(l.ctx, conn), &peer{kind: toNames}))
+	go l.joinNames()
+	return noTick, gnet.None
+}
+
+// joinNames brings a socket to the name service into the loop.
+func (l *Loop) joinNames() {
+	for {
+		conn, err := net.Dial("udp", l.config.Resolver)
+		if err == nil {
+			err = l.join(conn, &peer{kind: toNames})
+		}
+		if err == nil {
+			return
+		}
+		l.log.Warn("name service", zap.Error(err))
+		time.Sleep(namesAgain)
 	}
+}
+
+// join hands a connection to the loop and waits until it is there.
+func (l *Loop) join(conn net.Conn, p *peer) error {
+	there, err := l.engine.Register(gnet.NewContext(gnet.NewNetConnContext(l.ctx, conn), p))
 	if err != nil {
-		l.log.Error("name service", zap.Error(err))
-		return time.Second, gnet.None
+		conn.Close()
+		return fmt.Errorf("join the loop: %w", err)
 	}
-	return noTick, gnet.None
+	return (<-there).Err
 }
 
 // OnOpen takes in a connection, accepted or made.
@@ -176,7 +201,7 @@
 	switch {
 	case p.kind == toNames && l.names == p: // an error on the socket, as when nobody listens there
 		l.names = nil
-		go l.dialNames()
+		go l.joinNames()
 	case p.kind == toEngine && l.engines[p.number] == p:
 		delete(l.engines, p.number)
 		l.post(router.EngineEnded{Connection: p.number, End: end})
@@ -234,7 +259,7 @@
 		}
 		l.post(event)
 	}
-	if l.here(p) && p.in.Len() > buffers.Size && l.pool.Used()*buffers.Size > l.mostMemory {
+	if l.here(p) && p.in.Len() > buffers.Size && l.pool.Used()*buffers.Size > l.mostHeld {
 		l.broken(p, router.NoMemory)
 	}
 	return gnet.None
@@ -284,17 +309,6 @@
 	l.post(router.ListAnswered{Query: id, List: list})
 }
 
-func (l *Loop) dialNames() {
-	time.Sleep(20 * time.Millisecond)
-	conn, err := net.Dial("udp", l.config.Resolver)
-	if err == nil {
-		_, err = l.turn.Enroll(gnet.NewContext(l.ctx, &peer{kind: toNames}), conn)
-	}
-	if err != nil {
-		l.log.Warn("name service", zap.Error(err))
-	}
-}
-
 // post brings an event to the router and does what it asks for. What comes of that meanwhile waits its turn.
 func (l *Loop) post(e router.Event) {
 	l.queue = append(l.queue, e)
@@ -326,8 +340,8 @@
 		l.count(p)
 	}
 	l.post(router.TurnEnded{})
-	if l.ended && (len(l.waiting) == 0 || time.Now().After(l.endBy)) {
-		return errorx.ErrEngineShutdown
+	if l.ended {
+		return l.flushed()
 	}
 	return nil
 }
@@ -360,7 +374,6 @@
 		l.print(e)
 	case router.Exit:
 		l.ended, l.endBy = true, time.Now().Add(flushTime)
-		l.execute(l.flushed)
 	}
 }
 
@@ -393,7 +406,7 @@
 	if p == nil {
 		return
 	}
-	if p.conn.OutboundBuffered()+data.Len() > mostUnread {
+	if p.conn.OutboundBuffered()+data.Len() > peerUnread {
 		l.broken(p, router.Unread)
 		return
 	}
@@ -401,7 +414,7 @@
 		return // OnClose has told
 	}
 	l.count(p)
-	if l.unread > l.mostMemory {
+	if l.unread > l.mostUnread {
 		worst := p
 		for other := range l.waiting {
 			if other.unread > worst.unread {
@@ -427,7 +440,7 @@
 	d := net.Dialer{Timeout: time.Duration(e.Within * float64(time.Second)), KeepAlive: -1}
 	conn, err := d.DialContext(l.ctx, "tcp", e.Address)
 	if err == nil {
-		_, err = l.turn.Enroll(gnet.NewContext(l.ctx, &peer{kind: toEngine, number: e.Connection}), conn)
+		err = l.join(conn, &peer{kind: toEngine, number: e.Connection})
 	}
 	if err == nil {
 		return
--- a/internal/router/batches.go
+++ b/internal/router/batches.go
@@ -86,7 +86,9 @@
 		f.Body.Release()
 		return
 	}
-	if most := r.settings.Settings.MostHeld; most > 0 && len(r.batches) >= most {
+	held, memory := r.settings.Settings.MostHeld, textShare*float64(r.settings.MemoryMB)*(1<<20)
+	if held > 0 && len(r.batches) >= held || memory > 0 && float64(r.pool.Used()*buffers.Size) > memory {
+		// Beyond what the platform lets a router hold. Nothing of it has run, so a pushback is true.
 		r.reply(b, refused, 0, nil)
 		f.Body.Release()
 		return
--- a/internal/router/connections.go
+++ b/internal/router/connections.go
@@ -7,8 +7,6 @@
 	"pitchfield/brain"
 )
 
-// Connections to engines.
-
 // pick finds a connection for one more, or begins one.
 func (r *Router) pick(e *engine, id string) (*line, End) {
 	if c := e.pool.Pick(id, r.settings.Settings.Multiplex); c != nil {
@@ -23,7 +21,9 @@
 	r.dialing++
 	l := &line{Connection: e.pool.Add(r.number(), r.now), engine: e}
 	r.connections[l.Number] = l
-	r.do(Dial{l.Number, e.address, r.settings.Settings.DialTime})
+	within := r.settings.Settings.DialTime
+	l.timer = r.timers.add(r.now+within, l)
+	r.do(Dial{l.Number, e.address, within})
 	return l, 0
 }
 
@@ -34,6 +34,7 @@
 		return
 	}
 	r.dialing--
+	r.timers.stop(l.timer)
 	l.Up, l.Heard = true, r.now
 	queue := l.queue
 	l.queue = nil
@@ -49,18 +50,35 @@
 		return
 	}
 	if l.Suspect || l.engine.Phase == brain.Gone {
-		r.closeLine(l, ClosedSuspect)
+		end := ClosedIdle
+		if l.Suspect {
+			end = ClosedSuspect
+		}
+		r.closeLine(l, end)
 		return
 	}
-	if idle := r.settings.Settings.IdleTime; idle > 0 {
-		r.timers.add(r.now+idle*idleEarly, l)
+	if idle := r.settings.Settings.IdleTime; idle > 0 && (l.timer == nil || l.timer.index < 0) {
+		l.timer = r.timers.add(r.now+idle*idleEarly, l)
 	}
 }
 
-func (r *Router) idle(l *line) {
-	if r.connections[l.Number] == l && l.Idle() && r.now >= l.IdleAt+r.settings.Settings.IdleTime*idleEarly-1e-6 {
-		r.closeLine(l, ClosedIdle)
+// lineDue: it did not come up in time, or it may have been idle for long enough.
+func (r *Router) lineDue(l *line) {
+	if r.connections[l.Number] != l {
+		return
+	}
+	if !l.Up {
+		r.closeLine(l, DialTimedOut)
+		return
+	}
+	if !l.Idle() {
+		return
+	}
+	if at := l.IdleAt + r.settings.Settings.IdleTime*idleEarly; r.now < at {
+		l.timer = r.timers.add(at, l)
+		return
 	}
+	r.closeLine(l, ClosedIdle)
 }
 
 func (r *Router) closeLine(l *line, end End) {
@@ -71,6 +89,7 @@
 // lineEnded ends all that was open on a connection, in the order it was sent.
 func (r *Router) lineEnded(l *line, end End) {
 	delete(r.connections, l.Number)
+	r.timers.stop(l.timer)
 	if !l.Up {
 		r.dialing--
 	}
--- a/internal/router/dispatches.go
+++ b/internal/router/dispatches.go
@@ -25,12 +25,13 @@
 	missing      int
 	work, memory float64
 	report       *brain.Report
+	timer        *timer
 }
 
 func (r *Router) dispatch(b *batch, e *engine, no int, wait float64) {
 	d := &dispatch{batch: b, no: no, engine: e, sentAt: r.now, endAt: r.now + wait, work: -1, memory: -1}
 	b.dispatches = append(b.dispatches, d)
-	r.timers.add(d.endAt, d)
+	d.timer = r.timers.add(d.endAt, d)
 	r.log(Debug, "dispatch", "id", b.id, "no", no, "engine", e.name, "wait", wait, "memory", b.memory)
 	l, end := r.pick(e, b.id)
 	if l == nil {
@@ -74,6 +75,7 @@
 		return
 	}
 	d.ended = true
+	r.timers.stop(d.timer)
 	for _, p := range d.pages {
 		p.Release()
 	}
@@ -88,18 +90,6 @@
 	r.forget(b)
 }
 
-func (r *Router) timedOut(d *dispatch) {
-	if d.ended {
-		return
-	}
-	if l := d.line; l != nil && d.written && l.Heard <= d.wroteAt {
-		// It has brought nothing since: what is written next might lie in the same hole for long. What comes
-		// after goes on a new connection, which proves at once whether the engine can be reached.
-		l.Suspect = true
-	}
-	r.giveUp(d, brain.TimedOut)
-}
-
 // giveUp ends a dispatch of ours before the engine did.
 func (r *Router) giveUp(d *dispatch, how brain.Ending) {
 	if d.ended {
@@ -108,8 +98,12 @@
 	l := d.line
 	if d.written {
 		r.command(l, func(out *buffers.Chain) { engines.WriteAbort(out, d.batch.id) })
-	} else if how == brain.TimedOut {
-		how = brain.Unconnected // it never left this router
+		// Nothing came since the fetch was written: what is written next might lie in the same hole for long, as
+		// where a machine is cut off. What comes after goes on a new connection, which proves at once whether the
+		// engine can be reached. It costs a handshake where one was only slow and has no notes to tell.
+		l.Suspect = l.Suspect || l.Heard <= d.wroteAt
+	} else {
+		how = unsent[how]
 	}
 	r.ended(d, how, nil)
 	if l != nil {
@@ -118,6 +112,9 @@
 	}
 }
 
+// unsent is what giving up a dispatch proves whose bytes never left this router.
+var unsent = map[brain.Ending]brain.Ending{brain.TimedOut: brain.Unconnected, brain.Withdrawn: brain.NotSent}
+
 func (r *Router) engineSaid(number uint64, reply *engines.Reply) {
 	l := r.connections[number]
 	if l == nil {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -35,7 +35,7 @@
 	now      float64
 	begun    bool
 
-	engines     map[string]*engine
+	engines     map[string]*engine // for good: an engine that comes back is the same one to the module
 	byBrain     map[*brain.Engine]*engine
 	connections map[uint64]*line
 	numbers     uint64 // of connections to engines and of probes
@@ -62,6 +62,7 @@
 type engine struct {
 	brain.Engine
 	name, address string
+	gone          bool
 	pool          engines.Pool
 }
 
@@ -69,14 +70,13 @@
 type line struct {
 	*engines.Connection
 	engine *engine
-	queue  []any // dispatches and probes, in order
+	queue  []any  // dispatches and probes, in order
+	timer  *timer // to come up, or to close when idle
 }
 
 type client struct {
 	number uint64
 	open   map[uint32]*batch
-	last   uint32
-	told   bool // that no new batch is wanted
 }
 
 // New starts a router; its first effects come with the first event.
@@ -101,7 +101,10 @@
 	return r
 }
 
-const spareDescriptors = 48
+const (
+	spareDescriptors = 48
+	textShare        = 0.25 // of the memory limit: what batches may hold of it before more are pushed back
+)
 
 // Reduce takes one event and gives what is to be done. The list is used again by the next call.
 func (r *Router) Reduce(now float64, what Event) []Effect {
@@ -147,11 +150,11 @@
 // turn is the end of a loop turn: what is due, then the module's decisions, then the next timer.
 func (r *Router) turn() {
 	for {
-		t, ok := r.timers.due(r.now)
-		if !ok {
+		what := r.timers.due(r.now)
+		if what == nil {
 			break
 		}
-		r.due(t)
+		r.due(what)
 	}
 	if r.now >= r.wakeAt {
 		r.wakeAt = math.Inf(1)
@@ -165,15 +168,14 @@
 	}
 }
 
-func (r *Router) due(t timer) {
-	switch what := t.what.(type) {
+func (r *Router) due(what any) {
+	switch what := what.(type) {
 	case *dispatch:
-		r.timedOut(what)
+		r.giveUp(what, brain.TimedOut)
 	case *probe:
 		r.probed(what, false, "", true)
 	case *line:
-		r.idle(what)
-	case *client:
+		r.lineDue(what)
 	case asking:
 		if uint16(what) == r.query {
 			r.ask()
@@ -261,11 +263,12 @@
 		if e.Draining {
 			phase = brain.Draining
 		}
-		if known.Phase != phase || known.StartedAt != e.StartedAt {
+		if known.gone || known.Phase != phase || known.StartedAt != e.StartedAt {
 			r.log(Info, "engine listed", "engine", e.ID, "number", known.ID, "address", known.address,
 				"draining", e.Draining, "started", e.StartedAt, "serial", list.Serial)
 		}
 		s := &r.settings.Settings
+		known.gone = false
 		known.Phase, known.StartedAt, known.Size, known.Cell = phase, e.StartedAt, e.Weight, e.Cell
 		known.Zone, known.Kind = slices.Index(s.Zones, e.Zone), max(slices.Index(s.Kinds, e.Kind), 0)
 		whole = append(whole, &known.Engine)
@@ -273,22 +276,16 @@
 	}
 	r.brain.Listed(whole, true)
 	for name, e := range r.engines {
-		if there[e] {
+		if there[e] || e.gone {
 			continue
 		}
-		r.log(Info, "engine gone", "engine", name, "serial", list.Serial)
-		e.Phase = brain.Gone
+		r.log(Info, "engine gone", "engine", name, "number", e.ID, "serial", list.Serial)
+		e.gone, e.Phase = true, brain.Gone
 		for _, c := range slices.Clone(e.pool.Connections) {
-			if l := r.connections[c.Number]; l != nil && l.Idle() {
+			if l := r.connections[c.Number]; l.Idle() {
 				r.closeLine(l, ClosedIdle)
 			}
 		}
-		delete(r.engines, name)
-	}
-	for b, e := range r.byBrain {
-		if !there[e] && len(e.pool.Connections) == 0 {
-			delete(r.byBrain, b)
-		}
 	}
 }
 
