--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -78,10 +78,8 @@
 	if c.Settings, err = settings.Decode(file.Settings); err != nil {
 		return c, err
 	}
-	if c.Resolver != "" {
-		if _, err := netip.ParseAddrPort(c.Resolver); err != nil {
-			return c, fmt.Errorf("resolver: %w", err)
-		}
+	if _, err := netip.ParseAddrPort(c.Resolver); err != nil {
+		return c, fmt.Errorf("resolver: %w", err)
 	}
 	return c, nil
 }
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -92,6 +92,9 @@
 	if err != nil {
 		return fmt.Errorf("serve on %s: %w", c.Listen, err)
 	}
+	if !l.ended {
+		return fmt.Errorf("serve on %s: the event loop has ended", c.Listen)
+	}
 	return nil
 }
 
--- a/internal/router/batches.go
+++ b/internal/router/batches.go
@@ -93,9 +93,13 @@
 		f.Body.Release()
 		return
 	}
+	left := told.Left - wayTime
+	if r.stopAt > 0 {
+		left = min(left, r.killAt-r.now) // nobody answers after that
+	}
 	r.ids++
 	b.Batch = &brain.Batch{ID: r.ids, Group: group, Client: slices.Index(r.settings.Settings.Clients, told.Client),
-		Key: told.Key, Left: max(told.Left-wayTime, 0.001), Cost: told.Cost, Memory: told.Memory,
+		Key: told.Key, Left: max(left, 0.001), Cost: told.Cost, Memory: told.Memory,
 		Tables: float64(statement.DataSet(b.text.Reader()))}
 	b.dueAt = r.now + told.Left
 	r.batches[b.Batch] = b
--- a/internal/router/host_test.go
+++ b/internal/router/host_test.go
@@ -40,7 +40,7 @@
  "rules":{"stop-sending-within-ms":250},"tick-ms":5}`
 
 func start(t *testing.T, engines ...directory.Engine) *host {
-	c, err := config.Parse([]byte(`{"listen":"127.0.0.1:1","seed":"9","limits":{"sockets":1024},"settings":` + grades + `}`))
+	c, err := config.Parse([]byte(`{"listen":"127.0.0.1:1","resolver":"127.0.0.1:2","seed":"9","limits":{"sockets":1024},"settings":` + grades + `}`))
 	require.NoError(t, err)
 	c.Known = directory.List{Serial: 1, Engines: engines}
 	h := &host{t: t, now: 100, pool: &buffers.Pool{}, timer: 1e9, written: map[uint64]string{}, answers: map[uint32]string{}}
