--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -295,6 +295,8 @@
 	if !l.here(p) {
 		return
 	}
+	l.log.Warn("connection ended", zap.Uint64("connection", p.number), zap.Uint8("kind", uint8(p.kind)),
+		zap.Stringer("end", end), zap.Int("unread", p.unread), zap.Int("held", l.pool.Used()*buffers.Size))
 	l.end(p)
 	if p.kind == toEngine {
 		l.post(router.EngineEnded{Connection: p.number, End: end})
--- a/internal/router/batches.go
+++ b/internal/router/batches.go
@@ -30,9 +30,9 @@
 
 	// A client's time runs from when it sent the batch until it has the whole answer. It leaves on the dot, often
 	// before a final answer given at the last moment has come, and the batch then counts as lost. This much is
-	// taken off for both ways and a loop turn that comes late (18 ms was seen). Covers slow clients and busy
+	// taken off for both ways and a loop turn that comes late (18 ms was seen on an idle machine). Covers slow clients and busy
 	// machines too; it hurts where an answer would have come within these last milliseconds.
-	wayTime = 0.04
+	wayTime = 0.08
 
 	lateAnswer = 0.02 // past the client's time: worth a line
 )
@@ -49,6 +49,10 @@
 		return // the body is the batch's
 	case clients.Leave:
 		if b := c.open[f.Stream]; b != nil {
+			if r.now > b.dueAt-lateAnswer {
+				r.log(Warn, "client left at its time limit", "id", b.id, "group", b.Group.Name, "left", b.dueAt-r.now,
+					"out", b.Out, "dispatches", len(b.dispatches))
+			}
 			r.left(b)
 		}
 	case clients.AskReady:
@@ -160,7 +164,7 @@
 		return
 	}
 	if len(c.open) > 0 {
-		r.log(Debug, "client gone with open batches", "client", number, "open", len(c.open), "end", end.String())
+		r.log(Warn, "client gone with open batches", "client", number, "open", len(c.open), "end", end.String())
 	}
 	delete(r.clients, number)
 	open := make([]*batch, 0, len(c.open))
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -23,6 +23,7 @@
 	killAfter = 0.7  // the process may be killed so long after the longest time limit,
 	killLimit = 3.0  // which counts for no more than this
 	killEarly = 0.3  // and all must be answered before
+	lateTimer = 0.02 // worth a line: the process or its machine stood still
 )
 
 // Router is the state. It changes in Reduce alone.
@@ -134,6 +135,9 @@
 	case StopAsked:
 		r.stop()
 	case TimerFired:
+		if late := r.now - r.timerAt; late > lateTimer {
+			r.log(Warn, "woken late", "by", late)
+		}
 		r.timerAt = math.Inf(1)
 	case TurnEnded:
 		r.turn()
