--- a/internal/router/batches.go
+++ b/internal/router/batches.go
@@ -29,10 +29,10 @@
 	failed  = code(clients.Failed)
 
 	// A client's time runs from when it sent the batch until it has the whole answer. It leaves on the dot, often
-	// before a final answer given at the last moment has come, and the batch then counts as lost. This much is
-	// taken off for both ways and a loop turn that comes late (18 ms was seen on an idle machine). Covers slow clients and busy
-	// machines too; it hurts where an answer would have come within these last milliseconds.
-	wayTime = 0.08
+	// before a final answer given at the last moment has come, and the batch then counts as lost. So much is taken
+	// off for both ways and for a standstill of either side: a part of its time, within bounds. Covers slow clients
+	// and busy machines too; it hurts where an answer would have come within these last milliseconds.
+	wayShare, leastWay, mostWay = 0.05, 0.04, 0.25
 
 	lateAnswer = 0.02 // past the client's time: worth a line
 )
@@ -97,7 +97,7 @@
 		f.Body.Release()
 		return
 	}
-	left := told.Left - wayTime
+	left := told.Left - min(max(wayShare*told.Left, leastWay), mostWay)
 	if r.stopAt > 0 {
 		left = min(left, r.killAt-r.now) // nobody answers after that
 	}
