--- a/cmd/pitchfield/main.go
+++ b/cmd/pitchfield/main.go
@@ -23,6 +23,8 @@
 const (
 	softMemory = 0.7
 	collectAt  = 400
+
+	linesASecond = 50 // of one text
 )
 
 func main() {
@@ -46,6 +48,9 @@
 	}
 	logging := zap.NewProductionConfig()
 	logging.Level, logging.Sampling = zap.NewAtomicLevelAt(*level), nil
+	if *level >= zap.InfoLevel { // whoever sends rubbish must not fill the log; debug is for all there is
+		logging.Sampling = &zap.SamplingConfig{Initial: linesASecond}
+	}
 	logging.DisableStacktrace, logging.DisableCaller = true, true
 	log, err := logging.Build()
 	if err != nil {
--- a/cmd/pitchfield/main_test.go
+++ b/cmd/pitchfield/main_test.go
@@ -46,6 +46,7 @@
 	address string
 	names   *standin.Names
 	log     strings.Builder
+	path    string
 }
 
 // launch starts the program with the engines that the name service lists, and waits until it is ready.
@@ -65,12 +66,18 @@
 	require.NoError(t, err)
 	path := filepath.Join(t.TempDir(), "config.json")
 	require.NoError(t, os.WriteFile(path, config, 0o600))
+	p.path = path
+	p.start()
+	return p
+}
+
+func (p *program) start() {
 	p.Cmd = exec.Command("/bin/sh", "-c", `ulimit -n 256 && exec "$0"`, os.Args[0])
-	p.Env = append(os.Environ(), asProgram+"=1", "RELAY_CONFIG="+path)
+	p.Env = append(os.Environ(), asProgram+"=1", "RELAY_CONFIG="+p.path)
 	p.Stderr = &p.log
-	require.NoError(t, p.Start())
-	t.Cleanup(func() { p.Process.Kill() })
-	require.Eventually(t, func() bool {
+	require.NoError(p.t, p.Start())
+	p.t.Cleanup(func() { p.Process.Kill() })
+	require.Eventually(p.t, func() bool {
 		c, err := standin.Dial(p.address)
 		if err != nil {
 			return false
@@ -80,7 +87,6 @@
 		a, err := c.Next(time.Second)
 		return err == nil && a.Type == 21 && a.Code == 0
 	}, patience, 20*time.Millisecond)
-	return p
 }
 
 func (p *program) list(engines ...*standin.Engine) {
@@ -148,6 +154,43 @@
 	assert.Len(t, dying.Seen("fetch"), 1)
 }
 
+func TestAnEngineThatTalksRubbishLosesItsConnection(t *testing.T) {
+	e := engine(t, func(r standin.Request) [][]string {
+		if r[1] == "f1" {
+			return [][]string{{"only one part"}}
+		}
+		return standin.Toy(r)
+	})
+	p := launch(t, e)
+	c := p.client()
+	require.NoError(t, c.Ask(1, "once", "f1", left, "SELECT 1"))
+	assert.Equal(t, uint8(5), p.answers(c, 1)[1].Code, "it may have run")
+	require.NoError(t, c.Ask(2, "once", "f2", left, "SELECT 1"))
+	assert.Equal(t, uint8(0), p.answers(c, 1)[2].Code)
+}
+
+func TestAKilledProgramStartsAgainOnItsAddress(t *testing.T) {
+	e := engine(t, nil)
+	p := launch(t, e)
+	p.client()
+	p.Process.Kill()
+	p.Wait()
+	p.start()
+	c := p.client()
+	require.NoError(t, c.Ask(1, "lookup", "f1", left, "SELECT 1"))
+	assert.Equal(t, uint8(0), p.answers(c, 1)[1].Code)
+}
+
+func TestAConfigurationThatCanNotBeUsedIsOneLine(t *testing.T) {
+	for _, path := range []string{"", "/nowhere/config.json", os.Args[0]} {
+		cmd := exec.Command(os.Args[0])
+		cmd.Env = append(os.Environ(), asProgram+"=1", "RELAY_CONFIG="+path)
+		out, err := cmd.CombinedOutput()
+		assert.Error(t, err)
+		assert.Equal(t, 1, strings.Count(string(out), "\n"), "%s", out)
+	}
+}
+
 func TestBadInputLeavesTheProgramUp(t *testing.T) {
 	p := launch(t, engine(t, nil))
 	for _, text := range []string{"GET / HTTP/1.1\r\n\r\n", "\x00\x00\x00\x00\x00", string(standin.Frame(99, 1, nil, "?")),
@@ -203,11 +246,18 @@
 	assert.NoError(t, p.Wait(), p.log.String())
 }
 
-func TestAnEngineThatIsGoneGetsNothingNew(t *testing.T) {
+func TestAnEngineThatIsGoneGetsNothingNew(t *testing.T) { nothingNew(t, false) }
+
+func TestAnEngineThatDrainsGetsNothingNew(t *testing.T) { nothingNew(t, true) }
+
+func nothingNew(t *testing.T, drains bool) {
 	old, fresh := engine(t, nil), engine(t, nil)
 	p := launch(t, old)
-	p.list()
-	p.names.Set(standin.Host{ID: "s-new", Zone: "hall", Kind: "std", Address: fresh.Addr().String()})
+	list := []standin.Host{{ID: "s-new", Zone: "hall", Kind: "std", Address: fresh.Addr().String()}}
+	if drains {
+		list = append(list, standin.Host{ID: "s-0", Zone: "hall", Kind: "std", Address: old.Addr().String(), Draining: true})
+	}
+	p.names.Set(list...)
 	c := p.client()
 	i := uint32(0)
 	require.Eventually(t, func() bool {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -16,14 +16,15 @@
 
 // Facts of the protocol and the platform; seconds. Nothing here decides about a batch.
 const (
-	askEvery  = 0.1  // the list counts as told when it is sent, and a drain has to be known soon after
-	askAgain  = 0.04 // an answer may be lost
-	idleEarly = 0.8  // of the time after which engines close what is idle, lest a dispatch meets that close
-	quietStop = 0.75 // after a stop is asked for, batches still come for so long
-	killAfter = 0.7  // the process may be killed so long after the longest time limit,
-	killLimit = 3.0  // which counts for no more than this
-	killEarly = 0.3  // and all must be answered before
-	lateTimer = 0.02 // worth a line: the process or its machine stood still
+	askEvery    = 0.1  // the list counts as told when it is sent, and a drain has to be known soon after
+	askAgain    = 0.04 // an answer may be lost
+	lateQueries = 16   // numbers back that an answer may still come for
+	idleEarly   = 0.8  // of the time after which engines close what is idle, lest a dispatch meets that close
+	quietStop   = 0.75 // after a stop is asked for, batches still come for so long
+	killAfter   = 0.7  // the process may be killed so long after the longest time limit,
+	killLimit   = 3.0  // which counts for no more than this
+	killEarly   = 0.3  // and all must be answered before
+	lateTimer   = 0.02 // worth a line: the process or its machine stood still
 )
 
 // Router is the state. It changes in Reduce alone.
@@ -234,8 +235,8 @@
 }
 
 func (r *Router) listAnswered(query uint16, list directory.List) {
-	if query != r.query || !r.waiting { // late: a newer one is under way
-		if list.Serial <= r.serial {
+	if query != r.query || !r.waiting { // late, or again: it counts if it is newer, and ours
+		if list.Serial <= r.serial || r.query-query > lateQueries {
 			return
 		}
 	} else {
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -177,6 +177,8 @@
 	assert.Equal(t, brain.Gone, h.engines["s-2"].Phase, "gone is what a whole answer lacks")
 	h.tell(ListAnswered{first, directory.List{Serial: 2, Engines: []directory.Engine{east("s-1")}}})
 	assert.Equal(t, brain.Draining, h.engines["s-1"].Phase, "an old answer that comes late")
+	h.tell(ListAnswered{h.query + 99, directory.List{Serial: 9}})
+	assert.Equal(t, brain.Draining, h.engines["s-1"].Phase, "an answer to nobody's question")
 	for range 3 {
 		h.batch("lookup", 2000)
 	}
--- a/internal/statement/statement_test.go
+++ b/internal/statement/statement_test.go
@@ -7,6 +7,13 @@
 	"github.com/stretchr/testify/assert"
 )
 
+func FuzzDataSet(f *testing.F) {
+	f.Add("SELECT a -- b\n/* c /* d */ 'e' \"f\" [g] FROM h_1.i")
+	f.Fuzz(func(t *testing.T, text string) {
+		assert.GreaterOrEqual(t, DataSet(strings.NewReader(text)), None)
+	})
+}
+
 func TestDataSet(t *testing.T) {
 	for text, want := range map[string]int{
 		"SELECT day, count(*) FROM sales_17.orders WHERE tag = 'x' GROUP BY day":            17,
