--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -88,7 +88,8 @@
 	defer stop()
 	// Sharing the port is how gnet puts accepting into the one loop; without, it runs a second for that.
 	err := gnet.Run(l, "tcp://"+c.Listen, gnet.WithNumEventLoop(1), gnet.WithReusePort(true), gnet.WithReuseAddr(true),
-		gnet.WithTicker(true), gnet.WithLoadBalancing(gnet.LeastConnections), gnet.WithLogger(log.Sugar()), gnet.WithWriteBufferCap(buffers.Size*4))
+		gnet.WithTicker(true), gnet.WithLoadBalancing(gnet.LeastConnections), gnet.WithLogger(log.Sugar()),
+		gnet.WithWriteBufferCap(buffers.Size*4))
 	if err != nil {
 		return fmt.Errorf("serve on %s: %w", c.Listen, err)
 	}
