--- a/internal/router/batches.go
+++ b/internal/router/batches.go
@@ -85,7 +85,7 @@
 	group := r.groups[told.Group]
 	b := &batch{client: c, stream: f.Stream, id: told.ID, mark: told.Mark, text: f.Body}
 	if err != nil || group == nil {
-		r.log(Debug, "batch can't be used", "client", c.number, "stream", f.Stream, "group", told.Group, "why", err)
+		r.log(Warn, "batch can't be used", "client", c.number, "stream", f.Stream, "group", told.Group, "why", err)
 		r.reply(b, failed, 0, nil)
 		f.Body.Release()
 		return
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -138,6 +138,16 @@
 	h.tell(ClientOpened{2})
 	h.tell(ClientSaid{2, &clients.Frame{Type: 77, Stream: 5, Body: h.pool.Chain()}})
 	assert.Equal(t, failure, h.answers[0])
+	h.tell(ClientOpened{3})
+	taken := func() *clients.Frame {
+		return &clients.Frame{Type: clients.Ask, Stream: 9, Body: h.pool.Chain(),
+			Fields: map[string]string{"c": "upload", "i": "x", "d": "900"}}
+	}
+	h.tell(ClientSaid{3, taken()})
+	delete(h.answers, 0)
+	h.tell(ClientSaid{3, taken()})
+	assert.Equal(t, failure, h.answers[0], "a stream that is taken")
+	assert.NotContains(t, h.clients, uint64(3))
 	stream, id = h.batch("lookup", 2000)
 	c := h.up()
 	h.say(c, "nobody", engines.Done, "sheets=x", "a")
