--- a/cmd/pitchfield/main.go
+++ b/cmd/pitchfield/main.go
@@ -37,15 +37,15 @@
 }
 
 func run(level *zapcore.Level) error {
+	again := make(chan os.Signal, 1) // caught before all else: its default ends the process
+	signal.Notify(again, syscall.SIGHUP)
 	c, err := config.Load(os.Getenv)
 	if err != nil {
 		return err
 	}
 	runtime.GOMAXPROCS(1)
 	debug.SetGCPercent(collectAt)
-	if c.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(softMemory * float64(c.MemoryMB) * (1 << 20)))
-	}
+	limitMemory(c)
 	logging := zap.NewProductionConfig()
 	logging.Level, logging.Sampling = zap.NewAtomicLevelAt(*level), nil
 	if *level >= zap.InfoLevel { // whoever sends rubbish must not fill the log; debug is for all there is
@@ -62,9 +62,41 @@
 	defer cancel()
 	log.Info("starting", zap.String("listen", c.Listen), zap.Int("memory_mb", c.MemoryMB),
 		zap.Int("descriptors", c.Descriptors), zap.Int("engines", len(c.Known.Engines)))
-	if err := loop.Run(ctx, c, log); err != nil {
+	if err := loop.Run(ctx, c, reloads(ctx, again, log), log); err != nil {
 		return err
 	}
 	log.Info("ended")
 	return nil
 }
+
+func limitMemory(c config.Config) {
+	if c.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(softMemory * float64(c.MemoryMB) * (1 << 20)))
+	}
+}
+
+// reloads reads the configuration again at each signal. One that can't be used is logged, and the old one is kept.
+func reloads(ctx context.Context, again <-chan os.Signal, log *zap.Logger) <-chan config.Config {
+	out := make(chan config.Config)
+	go func() {
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-again:
+			}
+			c, err := config.Load(os.Getenv)
+			if err != nil {
+				log.Error("configuration can't be used, the old one is kept", zap.Error(err))
+				continue
+			}
+			limitMemory(c)
+			select {
+			case out <- c:
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	return out
+}
--- a/cmd/pitchfield/main_test.go
+++ b/cmd/pitchfield/main_test.go
@@ -59,16 +59,20 @@
 	p := &program{t: t, address: free.Addr().String(), names: names}
 	free.Close()
 	p.list(engines...)
+	p.path = filepath.Join(t.TempDir(), "config.json")
+	p.configure(names)
+	p.start()
+	return p
+}
+
+// configure writes the file that names this name service.
+func (p *program) configure(names *standin.Names) {
 	config, err := json.Marshal(map[string]any{"name": "n1", "listen": p.address, "seed": "8c1f30d27a5be964",
 		"limits":   map[string]any{"cores": 1, "memory_mb": 192, "sockets": 256},
 		"resolver": names.LocalAddr().String(), "known": map[string]any{"pos": 0, "entries": []any{}},
 		"settings": json.RawMessage(grades)})
-	require.NoError(t, err)
-	path := filepath.Join(t.TempDir(), "config.json")
-	require.NoError(t, os.WriteFile(path, config, 0o600))
-	p.path = path
-	p.start()
-	return p
+	require.NoError(p.t, err)
+	require.NoError(p.t, os.WriteFile(p.path, config, 0o600))
 }
 
 func (p *program) start() {
@@ -274,3 +278,39 @@
 	}
 	assert.Len(t, old.Seen("fetch"), before)
 }
+
+func TestAReloadMovesToAnotherNameServiceAndABadOneChangesNothing(t *testing.T) {
+	slow := func(r standin.Request) [][]string {
+		if r[0] == "fetch" {
+			time.Sleep(300 * time.Millisecond)
+		}
+		return standin.Toy(r)
+	}
+	old, fresh := engine(t, slow), engine(t, nil)
+	p := launch(t, old)
+	c := p.client()
+	require.NoError(t, c.Ask(1, "once", "f1", left, "SELECT 1"))
+	other, err := standin.NewNames("127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { other.Close() })
+	for range 2 { // the numbers go on
+		other.Set(standin.Host{ID: "s-new", Zone: "hall", Kind: "std", Address: fresh.Addr().String()})
+	}
+	require.NoError(t, os.WriteFile(p.path, []byte(`{"listen":`), 0o600))
+	require.NoError(t, p.Process.Signal(syscall.SIGHUP))
+	time.Sleep(50 * time.Millisecond)
+	p.configure(other)
+	require.NoError(t, p.Process.Signal(syscall.SIGHUP))
+	assert.Equal(t, uint8(0), p.answers(c, 1)[1].Code, "taken before it")
+	i := uint32(1)
+	require.Eventually(t, func() bool {
+		i++
+		require.NoError(t, c.Ask(i, "lookup", fmt.Sprintf("f%d", i), left, "SELECT 1"))
+		p.answers(c, 1)
+		return len(fresh.Seen("fetch")) > 0
+	}, patience, 20*time.Millisecond)
+	require.NoError(t, p.Process.Signal(syscall.SIGHUP))
+	require.NoError(t, p.Process.Signal(syscall.SIGTERM))
+	require.NoError(t, p.Wait(), "a stop amid a reload")
+	assert.Contains(t, p.log.String(), "the old one is kept")
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -20,6 +20,7 @@
 	MemoryMB, Descriptors  int
 	Known                  directory.List
 	Settings               settings.Settings
+	SettingsText           string // as they were written
 }
 
 // Load reads the file that RELAY_CONFIG names; RELAY_NAME and RELAY_LISTEN stand in for what it lacks.
@@ -67,7 +68,7 @@
 		return Config{}, err
 	}
 	c := Config{Name: file.Name, Listen: file.Listen, Resolver: file.Resolver, Cores: file.Limits.Cores,
-		MemoryMB: file.Limits.Memory, Descriptors: file.Limits.Sockets}
+		MemoryMB: file.Limits.Memory, Descriptors: file.Limits.Sockets, SettingsText: string(file.Settings)}
 	var err error
 	if c.Seed, err = strconv.ParseUint(file.Seed, 16, 64); err != nil {
 		return c, fmt.Errorf("seed: %w", err)
--- a/internal/engines/pool.go
+++ b/internal/engines/pool.go
@@ -6,6 +6,7 @@
 	Engine  uint32
 	Up      bool
 	Suspect bool    // silent past a time limit: nothing new goes on it
+	Left    bool    // its engine is not at its address any more: nothing new, for good
 	Heard   float64 // when it last brought something
 	IdleAt  float64 // since when nothing is open on it
 
@@ -26,7 +27,7 @@
 func (p *Pool) Pick(id string, most int) *Connection {
 	var best *Connection
 	for _, c := range p.Connections {
-		if c.Suspect || len(c.open) >= most || len(c.used) >= mostUsed || c.knows(id) {
+		if c.Suspect || c.Left || len(c.open) >= most || len(c.used) >= mostUsed || c.knows(id) {
 			continue
 		}
 		if best == nil || c.Up && !best.Up || c.Up == best.Up && len(c.open) > len(best.open) {
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -64,6 +65,8 @@
 
 	clients, engines map[uint64]*peer
 	names            *peer
+	resolver         string        // where the name service is asked
+	moves            atomic.Uint64 // how often that has changed
 	numbers          uint64
 	waiting          map[*peer]struct{} // with bytes that wait to be written
 	unread           int
@@ -78,14 +81,17 @@
 	endBy   time.Time
 }
 
-// Run serves until the context ends and all that was taken is answered.
-func Run(ctx context.Context, c config.Config, log *zap.Logger) error {
+// Run serves until the context ends and all that was taken is answered. A configuration that was read again takes
+// the place of the one before.
+func Run(ctx context.Context, c config.Config, reloads <-chan config.Config, log *zap.Logger) error {
 	l := &Loop{config: c, log: log, ctx: context.WithoutCancel(ctx), pool: &buffers.Pool{},
 		there: make(chan struct{}), clients: map[uint64]*peer{}, engines: map[uint64]*peer{}, waiting: map[*peer]struct{}{},
-		mostUnread: share(unreadShare, c), mostHeld: share(wholeShare, c)}
+		resolver: c.Resolver}
+	l.bound()
 	l.router = router.New(c, l.pool, clock())
 	stop := context.AfterFunc(ctx, l.stop)
 	defer stop()
+	go l.reload(ctx, reloads)
 	// Sharing the port is how gnet puts accepting into the one loop; without, it runs a second for that.
 	err := gnet.Run(l, "tcp://"+c.Listen, gnet.WithNumEventLoop(1), gnet.WithReusePort(true), gnet.WithReuseAddr(true),
 		gnet.WithTicker(true), gnet.WithLoadBalancing(gnet.LeastConnections), gnet.WithLogger(log.Sugar()),
@@ -114,6 +120,21 @@
 	})
 }
 
+func (l *Loop) reload(ctx context.Context, reloads <-chan config.Config) {
+	<-l.there
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case c := <-reloads:
+			l.execute(func() error {
+				l.post(router.Reloaded{Config: c})
+				return nil
+			})
+		}
+	}
+}
+
 // execute runs something on the loop, soon.
 func (l *Loop) execute(what func() error) {
 	run := gnet.RunnableFunc(func(context.Context) error { return what() })
@@ -130,16 +151,16 @@
 
 // OnTick comes first when the loop is there; what it begins brings the loop itself to us.
 func (l *Loop) OnTick() (time.Duration, gnet.Action) {
-	go l.joinNames()
+	go l.joinNames(l.resolver, 0)
 	return noTick, gnet.None
 }
 
-// joinNames brings a socket to the name service into the loop.
-func (l *Loop) joinNames() {
-	for {
-		conn, err := net.Dial("udp", l.config.Resolver)
+// joinNames brings a socket to the name service into the loop. A reload meanwhile makes it void.
+func (l *Loop) joinNames(resolver string, number uint64) {
+	for l.moves.Load() == number {
+		conn, err := net.Dial("udp", resolver)
 		if err == nil {
-			err = l.join(conn, &peer{kind: toNames})
+			err = l.join(conn, &peer{kind: toNames, number: number})
 		}
 		if err == nil {
 			return
@@ -174,6 +195,9 @@
 	p.conn, p.in = c, l.pool.Chain()
 	switch p.kind {
 	case toNames:
+		if p.number != l.moves.Load() {
+			return nil, gnet.Close
+		}
 		l.names = p
 		l.post(router.TurnEnded{})
 	case toEngine:
@@ -205,7 +229,7 @@
 	switch {
 	case p.kind == toNames && l.names == p: // an error on the socket, as when nobody listens there
 		l.names = nil
-		go l.joinNames()
+		go l.joinNames(l.resolver, p.number)
 	case p.kind == toEngine && l.engines[p.number] == p:
 		delete(l.engines, p.number)
 		l.post(router.EngineEnded{Connection: p.number, End: end})
@@ -374,6 +398,11 @@
 				l.log.Debug("name service", zap.Error(err))
 			}
 		}
+	case router.AskAt:
+		l.askAt(e.Resolver)
+	case router.Bound:
+		l.config.MemoryMB, l.config.Descriptors = e.MemoryMB, e.Descriptors
+		l.bound()
 	case router.SetTimer:
 		l.setTimer(e.At)
 	case router.Log:
@@ -383,6 +412,23 @@
 	}
 }
 
+// askAt moves to another name service. The socket to the old one goes: what it might still say is not wanted.
+func (l *Loop) askAt(resolver string) {
+	old := l.names
+	l.names, l.resolver = nil, resolver
+	number := l.moves.Add(1)
+	if old != nil {
+		if err := l.turn.Close(old.conn); err != nil {
+			l.log.Debug("close", zap.Error(err))
+		}
+	}
+	go l.joinNames(resolver, number)
+}
+
+func (l *Loop) bound() {
+	l.mostUnread, l.mostHeld = share(unreadShare, l.config), share(wholeShare, l.config)
+}
+
 // flushed ends the loop once all is written, or nobody reads it.
 func (l *Loop) flushed() error {
 	if len(l.waiting) == 0 || time.Now().After(l.endBy) {
--- a/internal/router/connections.go
+++ b/internal/router/connections.go
@@ -3,8 +3,6 @@
 import (
 	"cmp"
 	"slices"
-
-	"pitchfield/brain"
 )
 
 // pick finds a connection for one more, or begins one.
@@ -49,12 +47,12 @@
 	if !l.Idle() || r.connections[l.Number] != l {
 		return
 	}
-	if l.Suspect || l.engine.Phase == brain.Gone {
-		end := ClosedIdle
-		if l.Suspect {
-			end = ClosedSuspect
-		}
-		r.closeLine(l, end)
+	switch {
+	case l.Left:
+		r.closeLine(l, LeftAddress)
+		return
+	case l.Suspect:
+		r.closeLine(l, ClosedSuspect)
 		return
 	}
 	if idle := r.settings.Settings.IdleTime; idle > 0 && (l.timer == nil || l.timer.index < 0) {
--- a/internal/router/dispatches.go
+++ b/internal/router/dispatches.go
@@ -31,6 +31,7 @@
 func (r *Router) dispatch(b *batch, e *engine, no int, wait float64) {
 	d := &dispatch{batch: b, no: no, engine: e, sentAt: r.now, endAt: r.now + wait, work: -1, memory: -1}
 	b.dispatches = append(b.dispatches, d)
+	e.out++
 	d.timer = r.timers.add(d.endAt, d)
 	r.log(Debug, "dispatch", "id", b.id, "no", no, "engine", e.name, "wait", wait, "memory", b.memory)
 	l, end := r.pick(e, b.id)
@@ -75,6 +76,7 @@
 		return
 	}
 	d.ended = true
+	d.engine.out--
 	r.timers.stop(d.timer)
 	for _, p := range d.pages {
 		p.Release()
--- a/internal/router/end.go
+++ b/internal/router/end.go
@@ -18,12 +18,14 @@
 	NoMemory                 // what is not whole yet takes too much
 	ClosedIdle               // by us, with nothing open on it
 	ClosedSuspect            // by us, silent past a time limit
+	LeftAddress              // by us: its engine is no longer there
 	Stopped                  // this router ends
 	ends
 )
 
 var endNames = [ends]string{"refused dial", "dial timed out", "no descriptor", "unaddressed", "closed by peer",
-	"reset by peer", "bad input", "unread", "no memory", "closed idle", "closed suspect", "stopped"}
+	"reset by peer", "bad input", "unread", "no memory", "closed idle", "closed suspect",
+	"left address", "stopped"}
 
 func (e End) String() string { return endNames[e] }
 
@@ -41,5 +43,6 @@
 	NoMemory:      {brain.Broken, brain.NotSent},
 	ClosedIdle:    {brain.Broken, brain.NotSent},
 	ClosedSuspect: {brain.Broken, brain.NotSent},
+	LeftAddress:   {brain.Broken, brain.NotSent},
 	Stopped:       {brain.Broken, brain.NotSent},
 }
--- a/internal/router/events.go
+++ b/internal/router/events.go
@@ -3,6 +3,7 @@
 import (
 	"pitchfield/internal/buffers"
 	"pitchfield/internal/clients"
+	"pitchfield/internal/config"
 	"pitchfield/internal/directory"
 	"pitchfield/internal/engines"
 )
@@ -37,6 +38,7 @@
 	TimerFired struct{}
 	TurnEnded  struct{} // all that came in together has been told
 	StopAsked  struct{}
+	Reloaded   struct{ Config config.Config } // the file was read again, and it can be used
 )
 
 func (ClientOpened) event() {}
@@ -49,6 +51,7 @@
 func (TimerFired) event()   {}
 func (TurnEnded) event()    {}
 func (StopAsked) event()    {}
+func (Reloaded) event()     {}
 
 // Effect is one thing that the router asks for. The chains in it are the doer's from then on.
 type Effect interface{ effect() }
@@ -77,7 +80,9 @@
 		End        End
 	}
 	AskList  struct{ Query uint16 }
-	SetTimer struct{ At float64 } // in place of the one before
+	AskAt    struct{ Resolver string }           // from now on, there and nowhere else
+	Bound    struct{ MemoryMB, Descriptors int } // the limits that now hold
+	SetTimer struct{ At float64 }                // in place of the one before
 	Log      struct {
 		Level  Level
 		Text   string
@@ -102,6 +107,8 @@
 func (WriteEngine) effect() {}
 func (CloseEngine) effect() {}
 func (AskList) effect()     {}
+func (AskAt) effect()       {}
+func (Bound) effect()       {}
 func (SetTimer) effect()    {}
 func (Log) effect()         {}
 func (Exit) effect()        {}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -4,6 +4,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"slices"
 	"strconv"
 
@@ -18,7 +19,8 @@
 const (
 	askEvery    = 0.1  // the list counts as told when it is sent, and a drain has to be known soon after
 	askAgain    = 0.04 // an answer may be lost
-	lateQueries = 16   // numbers back that an answer may still come for
+	lateQueries = 16   // questions back that an answer may still come for
+	keepGone    = 60.0 // what is known of an engine that has left the list is kept for so long
 	idleEarly   = 0.8  // of the time after which engines close what is idle, lest a dispatch meets that close
 	quietStop   = 0.75 // after a stop is asked for, batches still come for so long
 	killAfter   = 0.7  // the process may be killed so long after the longest time limit,
@@ -37,25 +39,26 @@
 	now      float64
 	begun    bool
 
-	engines     map[string]*engine // for good: an engine that comes back is the same one to the module
+	engines     map[string]*engine // forgetEngine deletes, from byBrain too
 	byBrain     map[*brain.Engine]*engine
-	connections map[uint64]*line
-	numbers     uint64 // of connections to engines and of probes
-	most        int    // descriptors for connections to engines
-	dialing     int    // connections that are not up yet; each takes a second descriptor for a moment
+	connections map[uint64]*line // lineEnded deletes
+	numbers     uint64           // of connections to engines and of probes
+	most        int              // descriptors for connections to engines
+	dialing     int              // connections that are not up yet; each takes a second descriptor for a moment
 
-	clients map[uint64]*client
-	batches map[*brain.Batch]*batch
+	clients map[uint64]*client      // clientEnded deletes
+	batches map[*brain.Batch]*batch // forget deletes
 	ids     uint64
 
 	timers  timers
 	timerAt float64
 	wakeAt  float64
 
-	serial  uint32
-	query   uint16
-	askedAt float64
-	waiting bool // for an answer with the list
+	serial    uint32
+	questions []uint16 // that an answer may still come for, the last one last
+	ids16     *rand.Rand
+	askedAt   float64
+	asks      asking
 
 	stopAt, killAt float64 // 0: not stopping
 	exited         bool
@@ -66,6 +69,7 @@
 	name, address string
 	gone          bool
 	pool          engines.Pool
+	out           int // dispatches without an outcome
 }
 
 // line is a connection to an engine with what has to go out once it is up.
@@ -86,7 +90,7 @@
 	r := &Router{brain: brain.New(c.Settings.Settings, c.Seed, now), settings: c, pool: pool, now: now,
 		groups: map[string]*brain.ServiceGroup{}, engines: map[string]*engine{},
 		byBrain: map[*brain.Engine]*engine{}, connections: map[uint64]*line{}, clients: map[uint64]*client{},
-		batches: map[*brain.Batch]*batch{}, timerAt: math.Inf(1), wakeAt: math.Inf(1), query: uint16(c.Seed)}
+		batches: map[*brain.Batch]*batch{}, timerAt: math.Inf(1), wakeAt: math.Inf(1), ids16: rand.New(rand.NewPCG(c.Seed, 16))}
 	for _, g := range c.Settings.Groups {
 		r.groups[g.Name] = g
 	}
@@ -95,8 +99,7 @@
 	if s.DialTime <= 0 {
 		s.DialTime = 0.25
 	}
-	// Clients are let in up to half of the descriptors, though they should hold a third; the runtime needs some.
-	r.most = max(c.Descriptors-c.Descriptors/2-spareDescriptors, 4)
+	r.bound()
 	r.brain.Clock(now)
 	r.listed(c.Known)
 	r.ask()
@@ -108,6 +111,38 @@
 	textShare        = 0.25 // of the memory limit: what batches may hold of it before more are pushed back
 )
 
+func (r *Router) bound() {
+	// Clients are let in up to half of the descriptors, though they should hold a third; the runtime needs some.
+	n := r.settings.Descriptors
+	r.most = max(n-n/2-spareDescriptors, 4)
+}
+
+// reload takes what may change while the router runs: the name service's address, the limits, and a list that is
+// newer than ours. The list's number goes on. What decisions are made by is kept until the next start: batches that
+// are held or out were taken by it.
+func (r *Router) reload(c config.Config) {
+	old := &r.settings
+	r.log(Info, "configuration read again", "resolver", c.Resolver, "memory_mb", c.MemoryMB,
+		"descriptors", c.Descriptors, "serial", r.serial)
+	if c.Listen != old.Listen || c.SettingsText != old.SettingsText {
+		r.log(Warn, "listen and settings count from the next start")
+	}
+	if c.MemoryMB != old.MemoryMB || c.Descriptors != old.Descriptors {
+		old.MemoryMB, old.Descriptors = c.MemoryMB, c.Descriptors
+		r.bound()
+		r.do(Bound{c.MemoryMB, c.Descriptors})
+	}
+	if c.Known.Serial > r.serial {
+		r.listed(c.Known)
+	}
+	if c.Resolver != old.Resolver {
+		old.Resolver = c.Resolver
+		r.questions = nil // the old address may still answer them, with what it last knew
+		r.do(AskAt{c.Resolver})
+	}
+	r.ask()
+}
+
 // Reduce takes one event and gives what is to be done. The list is used again by the next call.
 func (r *Router) Reduce(now float64, what Event) []Effect {
 	if r.begun {
@@ -135,6 +170,8 @@
 		r.listAnswered(e.Query, e.List)
 	case StopAsked:
 		r.stop()
+	case Reloaded:
+		r.reload(e.Config)
 	case TimerFired:
 		if late := r.now - r.timerAt; late > lateTimer {
 			r.log(Warn, "woken late", "by", late)
@@ -182,9 +219,11 @@
 	case *line:
 		r.lineDue(what)
 	case asking:
-		if uint16(what) == r.query {
+		if what == r.asks {
 			r.ask()
 		}
+	case *engine:
+		r.forgetEngine(what)
 	case stopCheck:
 	}
 }
@@ -225,25 +264,35 @@
 
 // The list of engines.
 
-type asking uint16
+// asking is due at the next question. The count tells which of them is void.
+type asking uint64
 
+// ask sends the next question. Its number is drawn: next to one another, an answer to somebody else's, or under a
+// number that is off by a little, would be taken for ours.
 func (r *Router) ask() {
-	r.query++
-	r.askedAt, r.waiting = r.now, true
-	r.do(AskList{r.query})
-	r.timers.add(r.now+askAgain, asking(r.query))
+	id := uint16(r.ids16.Uint32())
+	r.questions = append(r.questions, id)
+	if len(r.questions) > lateQueries {
+		r.questions = slices.Delete(r.questions, 0, 1)
+	}
+	r.askedAt = r.now
+	r.do(AskList{id})
+	r.asks++
+	r.timers.add(r.now+askAgain, r.asks)
 }
 
+// listAnswered takes a whole list. One to nobody's question, or older than ours, changes nothing: the question stands
+// and is asked again. Lost, failed and cut ones never get here.
 func (r *Router) listAnswered(query uint16, list directory.List) {
-	if query != r.query || !r.waiting { // late, or again: it counts if it is newer, and ours
-		if list.Serial <= r.serial || r.query-query > lateQueries {
-			return
-		}
-	} else {
-		r.waiting = false
-		r.query++ // the repeat is void
-		r.timers.add(r.askedAt+askEvery, asking(r.query))
+	i := slices.Index(r.questions, query)
+	if i < 0 || list.Serial < r.serial {
+		return
 	}
+	if i == len(r.questions)-1 { // the last one; late answers still count where they are newer
+		r.asks++
+		r.timers.add(r.askedAt+askEvery, r.asks)
+	}
+	r.questions = slices.Delete(r.questions, i, i+1)
 	if list.Serial > r.serial {
 		r.listed(list)
 	}
@@ -261,8 +310,10 @@
 			r.engines[e.ID] = known
 			r.byBrain[&known.Engine] = known
 		}
-		if e.Address != "" {
+		if e.Address != "" && e.Address != known.address {
+			// What listens at the old address is another one's, or will be.
 			known.address = e.Address
+			r.leaveAddress(known)
 		}
 		phase := brain.Ready
 		if e.Draining {
@@ -286,14 +337,37 @@
 		}
 		r.log(Info, "engine gone", "engine", name, "number", e.ID, "serial", list.Serial)
 		e.gone, e.Phase = true, brain.Gone
-		for _, c := range slices.Clone(e.pool.Connections) {
-			if l := r.connections[c.Number]; l.Idle() {
-				r.closeLine(l, ClosedIdle)
-			}
+		r.leaveAddress(e)
+		r.timers.add(r.now+keepGone, e)
+	}
+}
+
+// leaveAddress: what has left an address, or the list, gets nothing more there. A connection that is not up yet might
+// come up at its successor; what is open on one that is up may still be answered, and then it closes.
+func (r *Router) leaveAddress(e *engine) {
+	for _, c := range slices.Clone(e.pool.Connections) {
+		l := r.connections[c.Number]
+		if c.Left = true; !c.Up {
+			r.closeLine(l, LeftAddress)
+		} else {
+			r.rest(l)
 		}
 	}
 }
 
+// forgetEngine: engines are replaced all day under new ids. What is gone for long, with nothing out and no connection,
+// is dropped; the module drops its own with the next list. One that flaps is the same one to the module until then.
+func (r *Router) forgetEngine(e *engine) {
+	switch {
+	case !e.gone:
+	case e.out > 0 || len(e.pool.Connections) > 0:
+		r.timers.add(r.now+keepGone, e)
+	default:
+		delete(r.engines, e.name)
+		delete(r.byBrain, &e.Engine)
+	}
+}
+
 // hash gives an engine's number from its name, alike at every router.
 func hash(name string) uint32 {
 	h := uint32(2166136261)
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"strconv"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -187,7 +188,9 @@
 	assert.Equal(t, brain.Gone, h.engines["s-2"].Phase, "gone is what a whole answer lacks")
 	h.tell(ListAnswered{first, directory.List{Serial: 2, Engines: []directory.Engine{east("s-1")}}})
 	assert.Equal(t, brain.Draining, h.engines["s-1"].Phase, "an old answer that comes late")
-	h.tell(ListAnswered{h.query + 99, directory.List{Serial: 9}})
+	for off := range uint16(3) { // numbers next to ours
+		h.tell(ListAnswered{h.queries[len(h.queries)-1] + off - 1, directory.List{Serial: 9}})
+	}
 	assert.Equal(t, brain.Draining, h.engines["s-1"].Phase, "an answer to nobody's question")
 	for range 3 {
 		h.batch("lookup", 2000)
@@ -204,7 +207,7 @@
 	h.tell(ListAnswered{h.queries[0], directory.List{Serial: 2}})
 	stream, _ := h.batch("lookup", 2000)
 	assert.Empty(t, h.dials)
-	h.pass(0.05)
+	h.pass(0.11)
 	h.tell(ListAnswered{h.queries[len(h.queries)-1], directory.List{Serial: 3, Engines: []directory.Engine{east("s-1")}}})
 	assert.Same(t, first, h.engines["s-1"])
 	h.pass(0.1)
@@ -258,9 +261,55 @@
 	c := h.up()
 	h.say(c, id, engines.Done, "sheets=1", "a\n")
 	h.tell(ListAnswered{h.queries[0], directory.List{Serial: 2, Engines: []directory.Engine{east("s-2")}}})
-	assert.Equal(t, []End{ClosedIdle}, h.closed())
+	assert.Equal(t, []End{LeftAddress}, h.closed())
 	h.batch("lookup", 2000)
-	assert.Len(t, h.dials, 2, "the old connection is not the new engine's")
+	require.Len(t, h.dials, 2, "the old connection is not the new engine's")
+	h.tell(ListAnswered{h.queries[0], directory.List{Serial: 3}})
+	h.pass(0.11)
+	h.tell(ListAnswered{h.queries[len(h.queries)-1], directory.List{Serial: 3}})
+	assert.Equal(t, []End{LeftAddress, LeftAddress}, h.closed(), "a dial to the old engine must not reach its successor")
+	h.tell(EngineOpened{h.dials[1].Connection})
+	assert.Empty(t, h.written[h.dials[1].Connection])
+}
+
+func TestEnginesThatAreGoneForLongAreForgotten(t *testing.T) {
+	h := start(t, east("s-1"))
+	_, id := h.batch("lookup", 4000)
+	c := h.up()
+	for n := range uint32(50) {
+		h.pass(0.11)
+		h.tell(ListAnswered{h.queries[len(h.queries)-1], directory.List{Serial: n + 2,
+			Engines: []directory.Engine{east("s-" + strconv.Itoa(int(n)+2))}}})
+	}
+	assert.Len(t, h.engines, 51, "one that flaps is the same one")
+	h.say(c, id, engines.Done, "sheets=1", "a\n")
+	h.pass(keepGone + 1)
+	assert.Len(t, h.engines, 1)
+	assert.Len(t, h.byBrain, 1)
+	assert.Less(t, len(h.timers), 5)
+}
+
+// A reload moves the name service. Its number goes on: an older list stays older, and old answers are nobody's.
+func TestAReloadMovesTheNameServiceAndDropsNothing(t *testing.T) {
+	h := start(t, east("s-1"))
+	stream, id := h.batch("lookup", 3000)
+	c := h.up()
+	before := h.queries[len(h.queries)-1]
+	next := h.settings
+	next.Resolver, next.Descriptors, next.Known = "127.0.0.1:3", 256, directory.List{Serial: 1}
+	h.tell(Reloaded{next})
+	assert.Contains(t, h.did, AskAt{"127.0.0.1:3"})
+	assert.Contains(t, h.did, Bound{0, 256})
+	assert.Equal(t, 256/2-spareDescriptors, h.most)
+	after := h.queries[len(h.queries)-1]
+	assert.NotEqual(t, before, after, "it is asked at once")
+	h.tell(ListAnswered{before, directory.List{Serial: 7}})
+	assert.Equal(t, brain.Ready, h.engines["s-1"].Phase, "the old address's word")
+	h.tell(ListAnswered{after, directory.List{Serial: 2, Engines: []directory.Engine{east("s-1"), east("s-2")}}})
+	assert.Contains(t, h.engines, "s-2")
+	h.tell(Reloaded{next}, Reloaded{next})
+	h.say(c, id, engines.Done, "sheets=1", "a\n")
+	assert.Equal(t, ok+"a\n", h.answers[stream])
 }
 
 func TestAtTheLimitOfDescriptorsBatchesStillEndWell(t *testing.T) {
