--- a/internal/clients/frames.go
+++ b/internal/clients/frames.go
@@ -34,6 +34,9 @@
 	leastSize, mostSize  = 5, 262144
 	mostFields           = 64
 	lengthSize, codeSize = 4, 1
+
+	idDigits, markDigits, mostKey = 16, 32, 64
+	mostCost, mostMemory          = 1e7, 1e7 // milliseconds and MB: no engine has so much
 )
 
 // ErrFrame says that a connection's bytes are no frames: nothing after them can be read.
@@ -102,6 +105,9 @@
 		if !ok || !ok2 {
 			return nil, errors.New("fields are cut short")
 		}
+		if _, twice := fields[name]; twice {
+			return nil, fmt.Errorf("two fields %.8q", name)
+		}
 		fields[name] = value
 	}
 	return fields, nil
@@ -121,19 +127,30 @@
 		return Batch{}, f.Bad
 	}
 	b := Batch{ID: f.Fields["i"], Group: f.Fields["c"], Client: f.Fields["t"], Mark: f.Fields["k"]}
-	if !plain(b.ID) || b.ID == "" {
+	if !hex(b.ID, idDigits) {
 		return b, errors.New("field i is not an id")
 	}
-	if !plain(b.Mark) || !plain(b.Group) {
-		return b, errors.New("fields c or k can't go on to an engine")
+	if b.Mark != "" && !hex(b.Mark, markDigits) {
+		return b, errors.New("field k is no mark")
 	}
-	left, err := strconv.ParseFloat(f.Fields["d"], 64)
-	if err != nil || !(left > 0) || left > 1e9 {
+	left, err := strconv.ParseUint(f.Fields["d"], 10, 31)
+	if err != nil || left == 0 {
 		return b, errors.New("field d is no time")
 	}
-	b.Left = left / 1000
-	b.Cost, b.Memory = number(f.Fields["h"])/1000, number(f.Fields["mb"])
+	b.Left = float64(left) / 1000
+	cost, ok := number(f.Fields["h"], mostCost)
+	memory, ok2 := number(f.Fields["mb"], mostMemory)
+	if !ok || !ok2 {
+		return b, errors.New("fields h or mb are no figures")
+	}
+	if f.Body.Len() == 0 {
+		return b, errors.New("no statement")
+	}
+	b.Cost, b.Memory = cost/1000, memory
 	if o := f.Fields["o"]; o != "" {
+		if len(o) > mostKey {
+			return b, errors.New("field o is too long")
+		}
 		h := fnv.New64a()
 		h.Write([]byte(o))
 		b.Key = max(h.Sum64(), 1)
@@ -141,22 +158,28 @@
 	return b, nil
 }
 
-// plain: it can stand in an engine's fields without changing their meaning.
-func plain(s string) bool {
+// hex: it is so many digits, and can stand in an engine's fields without changing their meaning.
+func hex(s string, digits int) bool {
 	for _, c := range []byte(s) {
-		if c <= ' ' || c >= 0x7f || c == ',' || c == '=' {
+		if (c < '0' || c > '9') && (c < 'a' || c > 'f') {
 			return false
 		}
 	}
-	return true
+	return len(s) == digits
 }
 
-func number(s string) float64 {
-	v, err := strconv.ParseFloat(s, 64)
-	if err != nil || !(v > 0) || math.IsInf(v, 0) {
-		return 0
+// number reads a plain figure from 0 to the most; none at all is 0.
+func number(s string, most float64) (float64, bool) {
+	if s == "" {
+		return 0, true
 	}
-	return v
+	for _, c := range []byte(s) {
+		if (c < '0' || c > '9') && c != '.' {
+			return 0, false
+		}
+	}
+	v, err := strconv.ParseFloat(s, 64)
+	return v, err == nil && v <= most
 }
 
 func head(out *buffers.Chain, kind uint8, stream uint32, payload int) {
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -48,6 +48,9 @@
 	conn   gnet.Conn
 	in     *buffers.Chain
 	unread int // bytes that wait to be written
+
+	opening bool // it is in OnOpen
+	half    bool // part of a message is there, and the router knows
 }
 
 // Loop is the event handler; all but Stop runs on the event loop.
@@ -204,13 +207,13 @@
 		l.engines[p.number] = p
 		l.post(router.EngineOpened{Connection: p.number})
 	case toClient:
-		// gnet ends its loop where accept finds no descriptor, so a connection too many is closed at once.
-		if most := l.config.Descriptors / 2; most > 0 && len(l.clients) >= most {
-			l.log.Warn("too many connections", zap.Int("clients", len(l.clients)), zap.Int("engines", len(l.engines)))
-			return nil, gnet.Close
-		}
 		l.clients[p.number] = p
+		p.opening = true
 		l.post(router.ClientOpened{Client: p.number})
+		p.opening = false
+		if !l.here(p) { // it was not let in
+			return nil, gnet.Close
+		}
 	}
 	return nil, gnet.None
 }
@@ -255,6 +258,9 @@
 	case toClient:
 		delete(l.clients, p.number)
 	}
+	if p.opening { // gnet is not done with it; OnOpen closes it
+		return
+	}
 	if err := l.turn.Close(p.conn); err != nil {
 		l.log.Debug("close", zap.Error(err))
 	}
@@ -285,8 +291,13 @@
 		if event == nil {
 			break
 		}
+		p.half = false
 		l.post(event)
 	}
+	if l.here(p) && p.in.Len() > 0 && !p.half && p.kind == toClient {
+		p.half = true
+		l.post(router.ClientBegan{Client: p.number})
+	}
 	if l.here(p) && p.in.Len() > buffers.Size && l.pool.Used()*buffers.Size > l.mostHeld {
 		l.broken(p, router.NoMemory)
 	}
--- a/internal/router/batches.go
+++ b/internal/router/batches.go
@@ -1,7 +1,7 @@
 package router
 
 import (
-	"cmp"
+	"errors"
 	"slices"
 
 	"pitchfield/brain"
@@ -34,6 +34,7 @@
 	// and busy machines too; it hurts where an answer would have come within these last milliseconds.
 	wayShare, leastWay, mostWay = 0.05, 0.04, 0.25
 
+	mostLimits = 2.0  // times its group's time limit that a batch may be told to wait
 	lateAnswer = 0.02 // past the client's time: worth a line
 )
 
@@ -43,6 +44,7 @@
 		f.Body.Release()
 		return
 	}
+	c.half, c.since, c.said = 0, r.now, true
 	switch f.Type {
 	case clients.Ask:
 		r.take(c, f)
@@ -68,26 +70,30 @@
 // reject tells of an error that belongs to no batch and ends the connection.
 func (r *Router) reject(c *client, stream uint32) {
 	r.log(Warn, "client sent what can't be used", "client", c.number, "stream", stream)
-	out := r.pool.Chain()
-	clients.WriteAnswer(out, 0, clients.Failed, 0, nil)
-	r.do(WriteClient{c.number, out})
-	r.do(CloseClient{c.number, BadInput})
-	r.clientEnded(c.number, BadInput)
+	r.refuseClient(c, BadInput)
 }
 
 func (r *Router) take(c *client, f *clients.Frame) {
-	if f.Stream == 0 || c.open[f.Stream] != nil {
+	// A number counts up, so it never comes twice; what breaks that, or the bound of open ones, is no client of ours.
+	if f.Stream <= c.stream || len(c.open) >= mostOpen {
 		f.Body.Release()
 		r.reject(c, f.Stream)
 		return
 	}
+	c.stream = f.Stream
 	told, err := f.Batch()
 	group := r.groups[told.Group]
 	b := &batch{client: c, stream: f.Stream, id: told.ID, mark: told.Mark, text: f.Body}
-	if err != nil || group == nil {
-		r.log(Warn, "batch can't be used", "client", c.number, "stream", f.Stream, "group", told.Group, "why", err)
+	if err == nil {
+		err = r.usable(told, group)
+	}
+	if err != nil {
+		r.log(Warn, "batch can't be used", "client", c.number, "stream", f.Stream, "group", told.Group, "why", err.Error())
 		r.reply(b, failed, 0, nil)
 		f.Body.Release()
+		if c.faults++; c.faults >= mostFaults {
+			r.refuseClient(c, BadInput)
+		}
 		return
 	}
 	held, memory := r.settings.Settings.MostHeld, textShare*float64(r.settings.MemoryMB)*(1<<20)
@@ -107,11 +113,27 @@
 		Tables: float64(statement.DataSet(b.text.Reader()))}
 	b.dueAt = r.now + told.Left
 	r.batches[b.Batch] = b
-	c.open[f.Stream] = b
+	c.open[f.Stream], r.open[b.id] = b, b
 	r.log(Debug, "batch", "id", b.id, "group", group.Name, "left", b.Left, "tables", b.Tables, "text", textOf{b.text})
 	r.brain.Take(b.Batch)
 }
 
+// usable: an engine closes a connection that others share on what it can't read, so nothing of a batch goes on
+// before all of it is known to be good. An id that is open is somebody's else's answer.
+func (r *Router) usable(told clients.Batch, group *brain.ServiceGroup) error {
+	switch {
+	case group == nil:
+		return errors.New("no such service group")
+	case r.open[told.ID] != nil:
+		return errors.New("its id is open")
+	case group.Effect == brain.Referenced && told.Mark == "":
+		return errors.New("a referenced batch has no mark")
+	case told.Left > mostLimits*group.Limit:
+		return errors.New("it would wait far past its group's time limit")
+	}
+	return nil
+}
+
 // textOf is only made a text if it is logged.
 type textOf struct{ *buffers.Chain }
 
@@ -120,14 +142,15 @@
 	if b.client == nil {
 		return
 	}
+	c := b.client
+	c.since = r.now
 	out := r.pool.Chain()
 	clients.WriteAnswer(out, b.stream, uint8(what), wait, body)
-	delete(b.client.open, b.stream)
+	r.unwait(b)
 	if b.dueAt > 0 && r.now > b.dueAt+lateAnswer {
 		r.log(Warn, "answer is late", "id", b.id, "by", r.now-b.dueAt, "code", uint8(what))
 	}
-	r.do(WriteClient{b.client.number, out})
-	b.client = nil
+	r.do(WriteClient{c.number, out})
 }
 
 // answer ends a batch for its client: once, and never after the client has left.
@@ -140,10 +163,18 @@
 	r.forget(b)
 }
 
-// left: nobody waits for the batch any more.
-func (r *Router) left(b *batch) {
+// unwait: the client is not waiting any more.
+func (r *Router) unwait(b *batch) {
 	delete(b.client.open, b.stream)
+	if r.open[b.id] == b {
+		delete(r.open, b.id)
+	}
 	b.client = nil
+}
+
+// left: nobody waits for the batch any more.
+func (r *Router) left(b *batch) {
+	r.unwait(b)
 	r.brain.Left(b.Batch)
 	r.forget(b)
 }
@@ -157,22 +188,3 @@
 		b.text.Release()
 	}
 }
-
-func (r *Router) clientEnded(number uint64, end End) {
-	c := r.clients[number]
-	if c == nil {
-		return
-	}
-	if len(c.open) > 0 {
-		r.log(Warn, "client gone with open batches", "client", number, "open", len(c.open), "end", end.String())
-	}
-	delete(r.clients, number)
-	open := make([]*batch, 0, len(c.open))
-	for _, b := range c.open {
-		open = append(open, b)
-	}
-	slices.SortFunc(open, func(a, b *batch) int { return cmp.Compare(a.ID, b.ID) })
-	for _, b := range open {
-		r.left(b)
-	}
-}
--- /dev/null
+++ b/internal/router/clients.go
@@ -0,0 +1,150 @@
+package router
+
+import (
+	"cmp"
+	"slices"
+
+	"pitchfield/internal/clients"
+)
+
+// What a connection of a client may cost; seconds.
+const (
+	lookEvery  = 0.25
+	tellEvery  = 10.0
+	silentTime = 2.0  // a new one has brought a whole frame by then, and so has one that has begun a frame
+	idleClient = 5.0  // clients close what is idle for 4 s themselves: who keeps it longer keeps it for good
+	settled    = 0.05 // silent for so long, a new one was not opened to ask at once
+	mostOpen   = 32   // batches on one
+	mostFaults = 3    // batches on one that can't be used
+)
+
+// client is a connection of one.
+type client struct {
+	number uint64
+	open   map[uint32]*batch // unwait deletes
+	stream uint32            // the last batch's: they count up
+	since  float64           // it opened, said something whole, or got its last answer
+	half   float64           // a part of a frame has been there since; 0: none
+	said   bool              // something whole
+	faults int
+}
+
+// crowd counts connections that were ended for the room they take.
+type crowd struct {
+	silent, idle, crowded int
+	toldAt                float64
+}
+
+type clientCheck struct{}
+
+// clientOpened lets a client in. Descriptors are few and gnet ends its loop where accept finds none, so at the bound
+// one has to go: who never says anything first, then who has been idle longest (its next batch finds another
+// connection), then the newest that is silent. Batches that are open are never ended for it.
+func (r *Router) clientOpened(number uint64) {
+	c := &client{number: number, open: map[uint32]*batch{}, since: r.now}
+	r.clients[number] = c
+	if !r.looking {
+		r.looking = true
+		r.timers.add(r.now+lookEvery, clientCheck{})
+	}
+	if r.mostClients <= 0 || len(r.clients) <= r.mostClients {
+		return
+	}
+	r.crowd.crowded++
+	worst := slices.MinFunc(r.byNumber(), func(a, b *client) int {
+		return cmp.Or(cmp.Compare(r.use(a), r.use(b)), cmp.Compare(a.since, b.since), cmp.Compare(a.number, b.number))
+	})
+	if r.use(worst) == inUse {
+		worst = c
+	}
+	r.closeClient(worst, Crowded)
+}
+
+const (
+	useless = iota
+	idle
+	young
+	inUse
+)
+
+func (r *Router) use(c *client) int {
+	switch {
+	case len(c.open) > 0:
+		return inUse
+	case !c.said && r.now-max(c.since, c.half) > settled:
+		return useless
+	case c.said && c.half == 0:
+		return idle
+	}
+	return young
+}
+
+// byNumber has them in one order, whatever a map makes of it.
+func (r *Router) byNumber() []*client {
+	all := make([]*client, 0, len(r.clients))
+	for _, c := range r.clients {
+		all = append(all, c)
+	}
+	return all
+}
+
+// lookAtClients ends what only takes a descriptor: silent ones, frames that never become whole, idle ones.
+func (r *Router) lookAtClients() {
+	r.looking = len(r.clients) > 0
+	if r.looking {
+		r.timers.add(r.now+lookEvery, clientCheck{})
+	}
+	all := r.byNumber()
+	slices.SortFunc(all, func(a, b *client) int { return cmp.Compare(a.number, b.number) })
+	for _, c := range all {
+		switch {
+		case c.half > 0 && r.now-c.half > silentTime:
+			r.crowd.silent++
+			r.refuseClient(c, Silent)
+		case len(c.open) > 0:
+		case !c.said && r.now-c.since > silentTime:
+			r.crowd.silent++
+			r.closeClient(c, Silent)
+		case r.now-c.since > idleClient && c.half == 0:
+			r.crowd.idle++
+			r.closeClient(c, ClosedIdle)
+		}
+	}
+	if w := &r.crowd; w.silent+w.idle+w.crowded > 0 && r.now > w.toldAt+tellEvery {
+		r.log(Info, "clients ended for room", "silent", w.silent, "idle", w.idle, "crowded", w.crowded,
+			"clients", len(r.clients))
+		*w = crowd{toldAt: r.now}
+	}
+}
+
+func (r *Router) closeClient(c *client, end End) {
+	r.do(CloseClient{c.number, end})
+	r.clientEnded(c.number, end)
+}
+
+// refuseClient tells of an error that belongs to no batch and ends the connection.
+func (r *Router) refuseClient(c *client, end End) {
+	out := r.pool.Chain()
+	clients.WriteAnswer(out, 0, clients.Failed, 0, nil)
+	r.do(WriteClient{c.number, out})
+	r.closeClient(c, end)
+}
+
+func (r *Router) clientEnded(number uint64, end End) {
+	c := r.clients[number]
+	if c == nil {
+		return
+	}
+	if len(c.open) > 0 {
+		r.log(Warn, "client gone with open batches", "client", number, "open", len(c.open), "end", end.String())
+	}
+	delete(r.clients, number)
+	open := make([]*batch, 0, len(c.open))
+	for _, b := range c.open {
+		open = append(open, b)
+	}
+	slices.SortFunc(open, func(a, b *batch) int { return cmp.Compare(a.ID, b.ID) })
+	for _, b := range open {
+		r.left(b)
+	}
+}
--- a/internal/router/end.go
+++ b/internal/router/end.go
@@ -17,6 +17,8 @@
 	Unread                   // the peer does not read what we write
 	NoMemory                 // what is not whole yet takes too much
 	ClosedIdle               // by us, with nothing open on it
+	Silent                   // by us, with no whole frame in time
+	Crowded                  // by us, to make room
 	ClosedSuspect            // by us, silent past a time limit
 	LeftAddress              // by us: its engine is no longer there
 	Stopped                  // this router ends
@@ -24,8 +26,8 @@
 )
 
 var endNames = [ends]string{"refused dial", "dial timed out", "no descriptor", "unaddressed", "closed by peer",
-	"reset by peer", "bad input", "unread", "no memory", "closed idle", "closed suspect",
-	"left address", "stopped"}
+	"reset by peer", "bad input", "unread", "no memory", "closed idle", "silent", "crowded",
+	"closed suspect", "left address", "stopped"}
 
 func (e End) String() string { return endNames[e] }
 
@@ -42,6 +44,8 @@
 	Unread:        {brain.Broken, brain.NotSent},
 	NoMemory:      {brain.Broken, brain.NotSent},
 	ClosedIdle:    {brain.Broken, brain.NotSent},
+	Silent:        {brain.Broken, brain.NotSent},
+	Crowded:       {brain.Broken, brain.NotSent},
 	ClosedSuspect: {brain.Broken, brain.NotSent},
 	LeftAddress:   {brain.Broken, brain.NotSent},
 	Stopped:       {brain.Broken, brain.NotSent},
--- a/internal/router/events.go
+++ b/internal/router/events.go
@@ -18,6 +18,7 @@
 		Client uint64
 		Frame  *clients.Frame
 	}
+	ClientBegan struct{ Client uint64 } // part of a frame is there, after whole ones or none
 	ClientEnded struct {
 		Client uint64
 		End    End
@@ -43,6 +44,7 @@
 
 func (ClientOpened) event() {}
 func (ClientSaid) event()   {}
+func (ClientBegan) event()  {}
 func (ClientEnded) event()  {}
 func (EngineOpened) event() {}
 func (EngineSaid) event()   {}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -46,9 +46,13 @@
 	most        int              // descriptors for connections to engines
 	dialing     int              // connections that are not up yet; each takes a second descriptor for a moment
 
-	clients map[uint64]*client      // clientEnded deletes
-	batches map[*brain.Batch]*batch // forget deletes
-	ids     uint64
+	clients     map[uint64]*client      // clientEnded deletes
+	crowd       crowd                   // what was done about too many of them, since the last line on it
+	mostClients int                     // connections
+	looking     bool                    // at them, by a timer
+	batches     map[*brain.Batch]*batch // forget deletes
+	open        map[string]*batch       // by id, while the client waits; unwait deletes
+	ids         uint64
 
 	timers  timers
 	timerAt float64
@@ -80,17 +84,12 @@
 	timer  *timer // to come up, or to close when idle
 }
 
-type client struct {
-	number uint64
-	open   map[uint32]*batch
-}
-
 // New starts a router; its first effects come with the first event.
 func New(c config.Config, pool *buffers.Pool, now float64) *Router {
 	r := &Router{brain: brain.New(c.Settings.Settings, c.Seed, now), settings: c, pool: pool, now: now,
 		groups: map[string]*brain.ServiceGroup{}, engines: map[string]*engine{},
 		byBrain: map[*brain.Engine]*engine{}, connections: map[uint64]*line{}, clients: map[uint64]*client{},
-		batches: map[*brain.Batch]*batch{}, timerAt: math.Inf(1), wakeAt: math.Inf(1), ids16: rand.New(rand.NewPCG(c.Seed, 16))}
+		batches: map[*brain.Batch]*batch{}, open: map[string]*batch{}, timerAt: math.Inf(1), wakeAt: math.Inf(1), ids16: rand.New(rand.NewPCG(c.Seed, 16))}
 	for _, g := range c.Settings.Groups {
 		r.groups[g.Name] = g
 	}
@@ -114,7 +113,7 @@
 func (r *Router) bound() {
 	// Clients are let in up to half of the descriptors, though they should hold a third; the runtime needs some.
 	n := r.settings.Descriptors
-	r.most = max(n-n/2-spareDescriptors, 4)
+	r.most, r.mostClients = max(n-n/2-spareDescriptors, 4), n/2
 }
 
 // reload takes what may change while the router runs: the name service's address, the limits, and a list that is
@@ -153,9 +152,13 @@
 	r.brain.Clock(r.now)
 	switch e := what.(type) {
 	case ClientOpened:
-		r.clients[e.Client] = &client{number: e.Client, open: map[uint32]*batch{}}
+		r.clientOpened(e.Client)
 	case ClientSaid:
 		r.clientSaid(e.Client, e.Frame)
+	case ClientBegan:
+		if c := r.clients[e.Client]; c != nil {
+			c.half = r.now
+		}
 	case ClientEnded:
 		r.clientEnded(e.Client, e.End)
 	case EngineOpened:
@@ -224,6 +227,8 @@
 		}
 	case *engine:
 		r.forgetEngine(what)
+	case clientCheck:
+		r.lookAtClients()
 	case stopCheck:
 	}
 }
