--- a/brain/brain.go
+++ b/brain/brain.go
@@ -29,19 +29,19 @@
 	blindThreads, blindMemory = 2.0, 8.0 // an engine without one counts as so many times as full as the pool
 	poolTime, presentTime     = 4.0, 5.0 // how long reports count towards that, and own dispatches without any
 
-	memorySpare           = 1.25        // grant over the corrected need
 	memoryFull, blindFull = 0.65, 0.55  // share of memory for heavy batches: all engines reported, and none
 	memoryRoom, roomSpare = 8.0, 4.0    // batches of its like that must find room before one is sent
-	generousness          = 3.0         // times the grant, where only what is needed counts
+	memorySpare, generous = 1.25, 3.0   // grant over the corrected need; times that, where only need counts
 	warmLoad              = 0.85        // the busy share of the cores that counts as capacity
 	probeWorth, probeRest = 0.005, 0.25 // of the result that probes may cost, and between those of an engine
 	coldShare             = 0.65        // of the cold budget is used; the rest is for estimates that lie
-	coldRouters           = 16          // routers that share the cold budget of an engine
+	coldRouters           = 16          // routers that share it
 
 	asideFirst, asideMost  = 1.0, 8.0  // an engine set aside is tried again after this, doubled each time
-	trustLoad              = 1.0       // an engine at full load takes so many more times the estimate
+	rowMost, forgetTime    = 6.0, 8.0  // failures in a row that do it, and how long they are remembered
+	failCost               = 3.0       // threads a core that sure failure counts for
 	sweepEvery, standstill = 0.05, 0.2 // woken so much too late, a router has stood still
-	mostTries              = 16        // batches without a fitting engine that one pull looks at
+	trustLoad, mostTries   = 1.0, 16   // estimates more that full load takes; batches no engine fits, a pull
 	overdue, restartGain   = 2.0, 2.0  // times the usual longest time; a fresh start must look so much quicker
 )
 
@@ -49,10 +49,9 @@
 	bin := int(math.Ceil(2*math.Log2(max(ratio, 0.1)))) + 1
 	h.bins[min(max(bin, 0), len(h.bins)-1)]++
 	if h.total++; h.total >= 256 {
-		h.total = 0
+		h.total /= 2
 		for i := range h.bins {
 			h.bins[i] /= 2
-			h.total += h.bins[i]
 		}
 	}
 }
@@ -73,23 +72,19 @@
 
 func New(s Settings, seed uint64, now float64) *Router {
 	r := &Router{groups: s.Groups, routers: max(float64(s.Routers), 1), index: s.Index, kinds: s.EngineKinds,
-		grants: s.Grants, priorities: s.Priorities,
-		largestGrant: min(cmp.Or(max(s.LargestGrant, 0), 1), 1), mayCancel: s.MayCancel, mayProbe: s.MayProbe,
-		mustAsk: s.MustAsk, rationed: s.Rationed, most: max(s.MostDispatches, 1),
-		probeEvery: min(max(s.ProbePrice/probeWorth, 1), 16), coldTime: s.ColdTime,
-		fallTime: s.FallTime, settle: s.SettleTime, tick: s.Tick, freeFurther: s.FreeFurther,
-		further: s.FurtherShare, furtherWindow: s.FurtherWindow, now: now, started: now,
+		grants: s.Grants, priorities: s.Priorities, largestGrant: min(cmp.Or(max(s.LargestGrant, 0), 1), 1),
+		mayCancel: s.MayCancel, mayProbe: s.MayProbe, mustAsk: s.MustAsk, rationed: s.Rationed,
+		most: max(s.MostDispatches, 1), probeEvery: min(max(s.ProbePrice/probeWorth, 1), 16), coldTime: s.ColdTime,
+		fallTime: s.FallTime, settle: s.SettleTime, tick: s.Tick, freeFurther: s.FreeFurther, generous: 1,
+		further: s.FurtherShare, furtherWindow: s.FurtherWindow, now: now, started: now, comeBack: s.LongestDefer,
 		random: seed&0xffffffff | 1<<33, lanes: map[uint64]*lane{}, load: firstLoad, mark: firstMark,
-		generous: 1, swept: now, sweepAt: now, wakeAt: math.Inf(1)}
+		swept: now, sweepAt: now, wakeAt: math.Inf(1)}
 	if r.grants && s.Shortage == Overcommit {
-		r.generous = generousness
+		r.generous = generous
 	}
 	if s.Routers > 0 { // else nobody knows how many others send to a cold engine
 		r.coldWork = coldShare * s.FallMultiple * s.ColdFrom * warmLoad * s.FallTime / min(r.routers, coldRouters)
 	}
-	if s.MayDefer {
-		r.comeBack = s.LongestDefer
-	}
 	for _, g := range s.Groups {
 		g.Threads = max(g.Threads, 1)
 		r.like.batches, r.like.threads = r.like.batches+1e-3, r.like.threads+1e-3*g.Threads
@@ -133,16 +128,17 @@
 // Listed brings the list of engines: the whole of it, or what changed.
 func (r *Router) Listed(list []*Engine, whole bool) {
 	for _, e := range list {
-		if e.cores == 0 {
-			e.cores, e.started = 1, e.StartedAt
-			if e.Kind < len(r.kinds) {
-				e.cores, e.memory = max(r.kinds[e.Kind].Cores, 1), r.kinds[e.Kind].Memory
+		if e.cores = 1; e.Kind < len(r.kinds) {
+			e.cores, e.memory = max(r.kinds[e.Kind].Cores, 1), r.kinds[e.Kind].Memory
+		}
+		r.largest = max(r.largest, e.memory)
+		if e.by == nil || e.started != e.StartedAt { // what was learned of the process before is void
+			e.started, e.health, e.reportAt, e.told = e.StartedAt, health{}, 0, amount{}
+			e.by = map[*ServiceGroup]*health{}
+			for _, g := range r.groups {
+				e.by[g] = &health{}
 			}
 		}
-		if e.started != e.StartedAt { // what was learned of the process before is void
-			e.started, e.asideUntil, e.backoff = e.StartedAt, 0, 0
-			e.good, e.bad, e.reportAt, e.told = 0, 0, 0, amount{}
-		}
 		if !slices.Contains(r.engines, e) {
 			// Each router keeps an order of its own: ties fall apart, or all meet on the first of the list.
 			r.engines = slices.Insert(r.engines, int(r.draw()*float64(len(r.engines)+1)), e)
@@ -161,7 +157,7 @@
 // Take brings a batch, which is owed one final answer from now on.
 func (r *Router) Take(b *Batch) {
 	g := b.Group
-	b.taken, b.limitAt = r.now, r.now+sane(b.Left, 1e6)-r.tick
+	b.taken, b.limitAt = r.now, r.now+sane(b.Left, 1e6)-2*r.tick
 	b.demand = sane(b.Cost, 1e5)
 	if b.demand > 0 {
 		four := 4*g.told/max(g.seen, 1) + 1e-6
@@ -180,19 +176,18 @@
 	if g.LateShare <= 0 { // an answer past the goal earns nothing
 		b.endAt = min(b.limitAt, r.now+g.Goal+g.GoalStretch*b.alone)
 	}
-	r.meanDemand += (b.demand - r.meanDemand) / 64
 	// A batch is at work in proportion to its time alone: that tells from the first batch on what is out there.
-	r.like = r.like.add(r.like, -1.0/64).add(amount{1, g.Threads, b.memory * memorySpare}, b.alone)
-	if g.InOrder && b.Key != 0 {
-		if b.lane = r.lanes[b.Key]; b.lane == nil {
-			b.lane = &lane{}
-			r.lanes[b.Key] = b.lane
-		}
-		b.lane.line = append(b.lane.line, b)
+	// One that could never end in time, or that fits nowhere, must not pass for what batches are like.
+	if b.alone <= g.Limit && (r.largest == 0 || b.memory <= r.largest) {
+		r.meanDemand += (b.demand - r.meanDemand) / 64
+		r.like = r.like.add(r.like, -1.0/64).add(amount{1, g.Threads, b.memory * memorySpare}, b.alone)
 	}
-	if r.rationed {
-		r.takes = append(r.takes, r.now)
+	b.lane = &lane{}
+	if g.InOrder && b.Key != 0 {
+		b.lane = cmp.Or(r.lanes[b.Key], b.lane)
+		r.lanes[b.Key] = b.lane
 	}
+	b.lane.line, r.takes = append(b.lane.line, b), append(r.takes, r.now)
 	r.probeCredit = min(r.probeCredit+1, 8*r.probeEvery)
 	r.hold(b)
 	r.sweepAt = min(r.sweepAt, b.limitAt-4*sweepEvery) // a late try can't wait for the next one
@@ -209,10 +204,7 @@
 
 func (r *Router) over(b *Batch) {
 	b.Over = true
-	r.held = without(r.held, b)
-	if b.lane != nil {
-		b.lane.line = without(b.lane.line, b)
-	}
+	r.held, b.lane.line = without(r.held, b), without(b.lane.line, b)
 }
 
 func (r *Router) Left(b *Batch) { r.over(b) }
@@ -223,22 +215,24 @@
 		return
 	}
 	d, e := b.dispatches[no], b.dispatches[no].engine
-	d.ended = true
-	b.Out--
-	e.outs = without(e.outs, d)
+	d.ended, d.end, e.outs = true, end, without(e.outs, d)
+	b.Out, b.lane.out = b.Out-1, b.lane.out-1
 	r.heard(e, rep)
 	doubt := end == TimedOut || end == Broken || end == Withdrawn
-	if l := b.lane; l != nil {
-		l.out--
-		if doubt {
-			l.restTo, l.restBy = r.now+r.settle, b
-		}
+	if doubt {
+		b.lane.restTo, b.lane.restBy = r.now+r.settle, b
 	}
 	if b.bound == nil && (end == Returned || end == Errored || doubt) {
 		b.bound, b.boundAt = e, d.sent
 	}
 	r.gateAt = r.now
-	r.judge(e, end)
+	for _, o := range b.dispatches {
+		// A batch that errs wherever it goes is at fault itself: errors count once an engine has answered.
+		once := b.Group.Effect == OnceOnly
+		if o == d && (end != Errored || once) || end == Returned && o.ended && o.end == Errored {
+			r.judge(o)
+		}
+	}
 	if end == Returned && work > 0 {
 		r.learn(b, took, sane(work, 1e5), sane(memory, 1e7))
 	}
@@ -275,36 +269,41 @@
 	}
 }
 
-// judge sets an engine aside that fails too often for what it answers; one that refuses at once looks idle.
-func (r *Router) judge(e *Engine, end Ending) {
-	switch end {
-	case Returned:
-		e.signAt = r.now
-		e.good++
-		if e.asideUntil > 0 {
-			r.log("engine %d back after %.1f s", e.ID, e.backoff)
-			e.asideUntil, e.backoff, e.bad = 0, 0, 0
-		}
-	case Errored, Unconnected, Broken, TurnedAway, TimedOut:
-		if end != TimedOut {
-			e.bad++
+// judge counts how an engine does, in all and for the batch's group: it may turn away one group for long, and
+// looks idle to it. Covers any failure that one group meets; hurts where failures are mere chance.
+func (r *Router) judge(d *dispatch) {
+	for _, h := range []*health{&d.engine.health, d.engine.by[d.batch.Group]} {
+		switch d.end {
+		case Returned:
+			d.engine.signAt, h.good, h.row = r.now, h.good+1, 0
+			if h.asideUntil > 0 && d.sent >= h.asideAt {
+				r.log("engine %d back after %.1f s", d.engine.ID, h.backoff)
+				h.asideUntil, h.backoff = 0, h.backoff/2
+			}
+		case Unconnected, Broken, TurnedAway, Errored:
+			if h.badAt < r.now { // what fails together fails for one cause
+				h.bad, h.row, h.badAt = h.bad+1, h.row+1, r.now
+			}
+			fallthrough
+		case TimedOut:
+			if h.row >= rowMost || h.row >= 3 && h.bad > h.good && d.engine.asideUntil == 0 || h.asideUntil > 0 {
+				r.aside(d.engine, h, "failing")
+			}
 		}
-		if e.bad >= 3 && e.bad > e.good/2 || e.asideUntil > 0 {
-			r.aside(e, "failing")
+		if h.good+h.bad > 32 {
+			h.good, h.bad, h.backoff = h.good/2, h.bad/2, h.backoff/2
 		}
 	}
-	if e.good+e.bad > 32 {
-		e.good, e.bad = e.good/2, e.bad/2
-	}
 }
 
-func (r *Router) aside(e *Engine, why string) {
-	if r.now < e.asideUntil {
+func (r *Router) aside(e *Engine, h *health, why string) {
+	if r.now < h.asideUntil {
 		return
 	}
-	e.backoff = min(max(asideFirst, 2*e.backoff), asideMost)
-	e.asideAt, e.asideUntil = r.now, r.now+e.backoff*(0.75+0.5*r.draw())
-	r.log("engine %d aside for %.1f s: %s, good %.0f bad %.0f", e.ID, e.backoff, why, e.good, e.bad)
+	h.backoff = min(max(asideFirst, 2*h.backoff), asideMost)
+	h.asideAt, h.asideUntil = r.now, r.now+h.backoff*(0.75+0.5*r.draw())
+	r.log("engine %d aside for %.1f s: %s, good %.0f bad %.0f, for all groups %t", e.ID, h.backoff, why, h.good,
+		h.bad, h == &e.health)
 }
 
 func (r *Router) Probed(e *Engine, ok bool, rep *Report) {
@@ -350,8 +349,7 @@
 		return
 	}
 	d := b.dispatches[no]
-	d.engine.signAt = r.now
-	if kind == Progress {
+	if d.engine.signAt = r.now; kind == Progress {
 		d.share, d.shareAt = sane(level, 1), r.now
 	}
 }
@@ -393,8 +391,8 @@
 // giveUp answers a batch for good, at once. A pushback is a promise that nothing ran or a repeat is harmless.
 func (r *Router) giveUp(b *Batch) Decision {
 	r.over(b)
-	all := b.bound == nil || b.Group.Effect == Repeatable || b.Group.Scope == WithinAll
-	if all && r.harmless(b, r.comeBack) {
+	anywhere := b.bound == nil || b.Group.Effect == Repeatable || b.Group.Scope == WithinAll
+	if anywhere && r.harmless(b, r.comeBack) {
 		return Decision{Kind: PushBack, Batch: b, Wait: r.comeBack}
 	}
 	return Decision{Kind: Fail, Batch: b}
@@ -421,6 +419,7 @@
 	maps.DeleteFunc(r.lanes, func(_ uint64, l *lane) bool {
 		return len(l.line) == 0 && l.out == 0 && r.now >= l.restTo
 	})
+	r.spent() // forgets what is old
 	passed := min(r.now-r.swept, 1)
 	r.swept, r.sweepAt = r.now, r.now+sweepEvery
 	if r.mustAsk {
@@ -436,6 +435,9 @@
 	cores, memory, busy, told, fresh, ready, aside := 0.0, 0.0, 0.0, 0.0, 0.0, 0, 0
 	for _, e := range r.engines {
 		late := 0
+		for _, h := range e.by {
+			h.bad -= h.bad * passed / forgetTime
+		}
 		for _, d := range e.outs {
 			g := d.batch.Group
 			out = out.add(d.takes, 1)
@@ -450,15 +452,14 @@
 			}
 		}
 		if late >= 3 || late > 0 && late == len(e.outs) && r.now-e.signAt > 1 {
-			r.aside(e, "silent")
+			r.aside(e, &e.health, "silent")
 		}
 		if e.Phase == Ready {
 			ready++
 			if e.asideUntil > 0 {
 				aside++
 			}
-			cores += e.cores
-			memory += e.memory
+			cores, memory = cores+e.cores, memory+e.memory
 			if r.fresh(e) {
 				fresh++
 			}
@@ -529,9 +530,7 @@
 			len(b.dispatches) > 0 && (!r.again(b) || r.rationed && r.spent()) {
 			continue
 		}
-		if first == nil {
-			first = b
-		}
+		first = cmp.Or(first, b)
 		slowdown := (r.now - b.taken + b.alone) / max(b.alone, 1e-3)
 		if slowdown > 2*threshold {
 			return b
@@ -551,13 +550,16 @@
 // turn tells whether the key's earlier batches are over, have all their outcomes, and the key has rested.
 func (r *Router) turn(b *Batch) bool {
 	l := b.lane
-	return l == nil || l.line[0] == b && l.out == b.Out && (r.now >= l.restTo || l.restBy == b)
+	return l.line[0] == b && l.out == b.Out && (r.now >= l.restTo || l.restBy == b)
 }
 
 // place gives the engine with the lowest figure among those the batch may go to.
 func (r *Router) place(b *Batch) (best *Engine, figure float64) {
+	others := len(b.dispatches) > 0 && slices.ContainsFunc(r.engines, func(e *Engine) bool {
+		return e.asideUntil == 0 && e.by[b.Group].asideUntil == 0 && !b.refusedBy(e) && r.allowed(b, e)
+	})
 	for _, e := range r.engines {
-		if !r.allowed(b, e) || !r.fit(b, e) {
+		if !r.allowed(b, e) || others && b.refusedBy(e) || !r.fit(b, e) {
 			continue
 		}
 		f := r.filled(e).threads
@@ -572,9 +574,8 @@
 			mix(math.Float64bits(b.Tables)>>24+1, uint64(e.ID))*float64(len(r.engines)) < homes {
 			f -= homeBonus
 		}
-		if n := len(b.dispatches); n > 0 && b.dispatches[n-1].engine == e {
-			f++
-		}
+		h := e.by[b.Group]
+		f += failCost * h.bad / (h.good + h.bad + 4)
 		if best == nil || f < figure {
 			best, figure = e, f
 		}
@@ -582,6 +583,12 @@
 	return best, figure
 }
 
+func (b *Batch) refusedBy(e *Engine) bool {
+	return slices.ContainsFunc(b.dispatches, func(d *dispatch) bool {
+		return d.engine == e && d.ended && (d.end == TurnedAway || d.end == Errored)
+	})
+}
+
 // mix is alike at every router: what one has read stays warm for all, and all pick the same few of them.
 func mix(a, b uint64) float64 {
 	h := a*0x9e3779b97f4a7c15 ^ b*0xc2b2ae3d27d4eb4f
@@ -591,25 +598,19 @@
 
 // allowed: what the rules say, at every dispatch.
 func (r *Router) allowed(b *Batch, e *Engine) bool {
-	g := b.Group
-	if e.Phase != Ready || g.Zones != nil && !slices.Contains(g.Zones, e.Zone) ||
-		g.Kinds != nil && !slices.Contains(g.Kinds, e.Kind) {
-		return false
-	}
-	if at := b.bound; at != nil && g.Effect == Referenced &&
-		(g.Scope == WithinZone && e.Zone != at.Zone || g.Scope == WithinCell && e.Cell != at.Cell) {
-		return false
-	}
-	return !r.cold(e) || r.coldRoom(e, b.demand)
+	g, at := b.Group, b.bound
+	return e.Phase == Ready && (g.Zones == nil || slices.Contains(g.Zones, e.Zone)) &&
+		(g.Kinds == nil || slices.Contains(g.Kinds, e.Kind)) &&
+		(at == nil || g.Effect != Referenced || (g.Scope != WithinZone || e.Zone == at.Zone) &&
+			(g.Scope != WithinCell || e.Cell == at.Cell)) && (!r.cold(e) || r.coldRoom(e, b.demand))
 }
 
 func (r *Router) cold(e *Engine) bool {
 	return e.StartedAt > 0 && r.now < e.StartedAt+r.coldTime+0.5
 }
 
-// coldRoom: our share of what may be sent to a cold engine in any window of the fall time. A share of one in
-// hundreds admits no batch, so a few routers have it all, picked alike everywhere by engine, start and own
-// number. After our own start nobody knows what we sent before: the first window is taken as spent.
+// coldRoom: our share of what may be sent to a cold engine in any fall time. A few routers have it all,
+// picked alike everywhere by engine, start and own number. After our own start one is taken as spent.
 func (r *Router) coldRoom(e *Engine, work float64) bool {
 	first := int(mix(uint64(e.ID), math.Float64bits(e.StartedAt)) * r.routers)
 	n := int(r.routers)
@@ -628,9 +629,12 @@
 // fit: health and memory. An engine set aside is tried with one batch at a time once its time has come, or at
 // once while most are set aside: nearly all failing is more likely the network's doing, or ours.
 func (r *Router) fit(b *Batch, e *Engine) bool {
-	n := len(e.outs)
-	if e.asideUntil > 0 && (r.now < e.asideUntil && !r.shaken || n > 0 && e.outs[n-1].sent >= e.asideAt) {
-		return false
+	for _, h := range []*health{&e.health, e.by[b.Group]} {
+		all := h == &e.health
+		trial := func(d *dispatch) bool { return d.sent >= h.asideAt && (all || d.batch.Group == b.Group) }
+		if h.asideUntil > 0 && (r.now < h.asideUntil && !r.shaken || slices.ContainsFunc(e.outs, trial)) {
+			return false
+		}
 	}
 	// A small batch may go where a heavy one may not: it needs room for some of its like, of which routers
 	// that act alike send one each, but never more than the share that counts as full leaves free.
@@ -645,10 +649,9 @@
 }
 
 // filled: an engine's threads a core and share of memory spoken for, by whom ever. One router of hundreds
-// sees next to nothing of the rest, so reports are pooled over fleet and time; an old one leans to the pool.
-// Engines differ widely: one without a report counts as fuller, and batches go among the few reported. What
-// was sent since a report counts once for each router that likely acts on its like, or all meet on one.
-// It hurts where one engine fills much faster than the fleet.
+// sees next to nothing of the rest, so reports are pooled over fleet and time; an old one leans to the pool,
+// no one counts as fuller. What was sent since a report counts once for each router that likely acts on its
+// like, or all meet on one. It hurts where one engine fills much faster than the fleet.
 func (r *Router) filled(e *Engine) amount {
 	var own, since amount
 	for _, d := range e.outs {
@@ -679,7 +682,7 @@
 
 func (r *Router) send(b *Batch, e *Engine) Decision {
 	r.held = without(r.held, b)
-	if len(b.dispatches) > 0 && r.rationed {
+	if len(b.dispatches) > 0 {
 		r.furthers = append(r.furthers, r.now)
 	}
 	d := &dispatch{batch: b, engine: e, number: len(b.dispatches), sent: r.now, still: r.still,
@@ -687,9 +690,7 @@
 	b.dispatches = append(b.dispatches, d)
 	e.outs = append(e.outs, d)
 	b.Out++
-	if b.lane != nil {
-		b.lane.out++
-	}
+	b.lane.out++
 	if r.cold(e) {
 		e.sends = slices.DeleteFunc(e.sends, func(s spend) bool { return s.at < r.now-r.fallTime-0.1 })
 		e.sends = append(e.sends, spend{r.now, b.demand})
--- a/brain/types.go
+++ b/brain/types.go
@@ -76,8 +76,7 @@
 	MayCancel      bool
 	MayProbe       bool
 	MayCopy        bool
-	MayDefer       bool // a pushback may say when to come back
-	LongestDefer   float64
+	LongestDefer   float64 // that a pushback may tell a client to stay away; 0: it may not
 	MostDispatches int
 	ProbePrice     float64
 	ColdFrom       float64
@@ -200,17 +199,25 @@
 }
 
 type engineState struct {
-	cores, memory       float64
-	outs                []*dispatch
-	report              Report
-	reportAt, probedAt  float64 // when the report last changed, when a probe last went out
-	probing             bool
-	signAt              float64 // last sign of life
+	cores, memory      float64
+	outs               []*dispatch
+	report             Report
+	reportAt, probedAt float64 // when the report last changed, when a probe last went out
+	probing            bool
+	signAt             float64 // last sign of life
+	started            float64
+	health                                       // in all
+	by                 map[*ServiceGroup]*health // and for one group's batches; a restart voids it
+	sends              []spend
+	told               amount // by the report: threads a core, share of memory
+}
+
+// health is how an engine does by the endings of its dispatches.
+type health struct {
+	good, bad           float64 // halved from time to time; bad ones are forgotten too
+	row, badAt          float64 // bad ones since the last good one, and when the last came
 	asideUntil, backoff float64 // set aside; 0: not
-	asideAt, started    float64
-	good, bad           float64 // endings, halved from time to time
-	sends               []spend
-	told                amount // by the report: threads a core, share of memory
+	asideAt             float64
 }
 
 type batchState struct {
@@ -231,6 +238,7 @@
 	share         float64 // share done, as last told
 	still         float64 // how long this router had stood still before
 	ended, cancel bool
+	end           Ending // once ended
 }
 
 // amount is what some batches take: their number, threads and memory, or the last two against an engine's.
@@ -266,6 +274,7 @@
 	most                   int     // dispatches of a batch
 	probeEvery             float64 // own batches that pay for a probe
 	coldTime               float64
+	largest                float64 // memory of any engine; 0: not told
 	coldWork, fallTime     float64 // own work a core that a cold engine may get in each fall time
 	settle, tick           float64
 	freeFurther, further   float64
--- a/internal/router/batches.go
+++ b/internal/router/batches.go
@@ -28,12 +28,6 @@
 	refused = code(clients.Refused)
 	failed  = code(clients.Failed)
 
-	// A client's time runs from when it sent the batch until it has the whole answer. It leaves on the dot, often
-	// before a final answer given at the last moment has come, and the batch then counts as lost. So much is taken
-	// off for both ways and for a standstill of either side: a part of its time, within bounds. Covers slow clients
-	// and busy machines too; it hurts where an answer would have come within these last milliseconds.
-	wayShare, leastWay, mostWay = 0.05, 0.04, 0.25
-
 	mostLimits = 2.0  // times its group's time limit that a batch may be told to wait
 	lateAnswer = 0.02 // past the client's time: worth a line
 )
@@ -103,7 +97,7 @@
 		f.Body.Release()
 		return
 	}
-	left := told.Left - min(max(wayShare*told.Left, leastWay), mostWay)
+	left := told.Left
 	if r.stopAt > 0 {
 		left = min(left, r.killAt-r.now) // nobody answers after that
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -148,13 +148,16 @@
 		LargestGrant: o.Specifics.Largest,
 		Shortage:     shortages[o.Specifics.Over], Grants: o.Specifics.Grants, Priorities: o.Specifics.Priority,
 		NotesEvery: o.Specifics.Pace / 1000, MayCancel: o.Limits.Cancel, MayProbe: o.Limits.Probe,
-		MayCopy: o.Limits.Duplicate, MayDefer: o.Limits.RetryAfter, LongestDefer: o.Limits.MaxRetry / 1000,
+		MayCopy:        o.Limits.Duplicate,
 		MostDispatches: o.Limits.Attempts, ProbePrice: o.Prices.Probe, ColdFrom: o.Rules.ColdFrom,
 		ColdTime: o.Rules.Cold / 1000, FallMultiple: o.Rules.FallMultiple, FallTime: o.Rules.Fall / 1000,
 		SettleTime: o.Rules.Settle / 1000, FreeFurther: value(o.Rules.ExtraFree),
 		FurtherShare: value(o.Rules.FurtherRatio), FurtherWindow: value(o.Rules.LookBack) / 1000,
 		Rationed: o.Rules.ExtraFree != nil || o.Rules.FurtherRatio != nil || o.Rules.LookBack != nil,
 		MustAsk:  o.Discovery != "push", Tick: o.Tick / 1000}
+	if o.Limits.RetryAfter {
+		s.LongestDefer = o.Limits.MaxRetry / 1000
+	}
 	for i, g := range o.Grades {
 		if g.OnTime == nil || g.Deadline == nil {
 			return Settings{}, fmt.Errorf("settings: grade %d lacks on-time-ms or deadline-ms", i)
