--- a/brain/brain.go
+++ b/brain/brain.go
@@ -41,8 +41,11 @@
 	rowMost, forgetTime    = 6.0, 8.0  // failures in a row that do it, and how long they are remembered
 	failCost               = 3.0       // threads a core that sure failure counts for
 	sweepEvery, standstill = 0.05, 0.2 // woken so much too late, a router has stood still
-	trustLoad, mostTries   = 1.0, 16   // estimates more that full load takes; batches no engine fits, a pull
-	overdue, restartGain   = 2.0, 2.0  // times the usual longest time; a fresh start must look so much quicker
+	// Clients leave on the dot: so much of their time is for both ways and a standstill of either side. It hurts
+	// where an answer would have come within these last milliseconds.
+	wayShare, leastWay, mostWay = 0.05, 0.04, 0.25
+	trustLoad, mostTries        = 1.0, 16  // estimates more that full load takes; batches no engine fits, a pull
+	overdue, restartGain        = 2.0, 2.0 // times the usual longest time; a fresh start must be so much quicker
 )
 
 func (h *histogram) add(ratio float64) {
@@ -157,7 +160,7 @@
 // Take brings a batch, which is owed one final answer from now on.
 func (r *Router) Take(b *Batch) {
 	g := b.Group
-	b.taken, b.limitAt = r.now, r.now+sane(b.Left, 1e6)-2*r.tick
+	b.taken, b.limitAt = r.now, r.now+sane(b.Left-min(max(wayShare*b.Left, leastWay), mostWay), 1e6)
 	b.demand = sane(b.Cost, 1e5)
 	if b.demand > 0 {
 		four := 4*g.told/max(g.seen, 1) + 1e-6
@@ -171,8 +174,7 @@
 	} else if b.memory == 0 && g.count > 0 {
 		b.memory = g.memory / g.count
 	}
-	b.alone = b.demand / g.Threads
-	b.endAt = b.limitAt
+	b.alone, b.endAt = b.demand/g.Threads, b.limitAt
 	if g.LateShare <= 0 { // an answer past the goal earns nothing
 		b.endAt = min(b.limitAt, r.now+g.Goal+g.GoalStretch*b.alone)
 	}
@@ -300,8 +302,8 @@
 	if r.now < h.asideUntil {
 		return
 	}
-	h.backoff = min(max(asideFirst, 2*h.backoff), asideMost)
-	h.asideAt, h.asideUntil = r.now, r.now+h.backoff*(0.75+0.5*r.draw())
+	h.asideAt, h.backoff = r.now, min(max(asideFirst, 2*h.backoff), asideMost)
+	h.asideUntil = r.now + h.backoff*(0.75+0.5*r.draw())
 	r.log("engine %d aside for %.1f s: %s, good %.0f bad %.0f, for all groups %t", e.ID, h.backoff, why, h.good,
 		h.bad, h == &e.health)
 }
@@ -519,8 +521,7 @@
 	return nil, nil
 }
 
-// pick: the smallest demand past twice the threshold; else, with more slow ones than the limit, the most
-// slowed; else the smallest demand.
+// pick: the smallest demand past twice the threshold; else, of many slow, the most slowed; else the smallest.
 func (r *Router) pick() *Batch {
 	threshold := 1 / (1 - r.load)
 	var first, worst *Batch
@@ -697,8 +698,7 @@
 	}
 	wait := b.limitAt - r.now
 	if g := b.Group; g.Effect == Repeatable && len(b.dispatches) < r.most {
-		own := overdue*b.alone*g.stretch.quantile(0.98, 16) + 0.5
-		if r.now+own+2*b.alone < b.limitAt {
+		if own := overdue*b.alone*g.stretch.quantile(0.98, 16) + 0.2; r.now+own+2*b.alone < b.limitAt {
 			wait = own
 		}
 	}
--- a/internal/buffers/buffers.go
+++ b/internal/buffers/buffers.go
@@ -43,8 +43,13 @@
 // Chain gives an empty chain.
 func (p *Pool) Chain() *Chain { return &Chain{pool: p} }
 
-// Len tells how many bytes it holds.
-func (c *Chain) Len() int { return c.size }
+// Len tells how many bytes it holds; none holds none.
+func (c *Chain) Len() int {
+	if c == nil {
+		return 0
+	}
+	return c.size
+}
 
 // Write appends; it never fails.
 func (c *Chain) Write(p []byte) (int, error) {
--- a/internal/engines/engines_test.go
+++ b/internal/engines/engines_test.go
@@ -58,7 +58,8 @@
 	first, second := p.Add(1, 0), p.Add(2, 0)
 	first.Up, second.Up = true, true
 	first.Open("a", 1)
-	assert.Same(t, first, p.Pick("b", 2), "the fuller one, so that others may close")
+	assert.Same(t, second, p.Pick("b", 2), "the one with least open")
+	assert.Same(t, first, p.Quiet(2))
 	assert.Same(t, second, p.Pick("a", 2))
 	first.Close("a", true, 5)
 	assert.Same(t, second, p.Pick("a", 2), "a late answer may still come on the first")
--- a/internal/engines/pool.go
+++ b/internal/engines/pool.go
@@ -23,20 +23,36 @@
 // mostUsed ids given up make a connection old: it takes nothing new then.
 const mostUsed = 256
 
-// Pick gives the fullest connection that can carry one more with this id, or none.
+// Pick gives the connection with the least open that can carry one more with this id, or none; among those, the one
+// used last, so that others may fall idle. One spoilt answer takes all with it that is open on its connection.
 func (p *Pool) Pick(id string, most int) *Connection {
 	var best *Connection
 	for _, c := range p.Connections {
 		if c.Suspect || c.Left || len(c.open) >= most || len(c.used) >= mostUsed || c.knows(id) {
 			continue
 		}
-		if best == nil || c.Up && !best.Up || c.Up == best.Up && len(c.open) > len(best.open) {
+		if best == nil || len(c.open) < len(best.open) ||
+			len(c.open) == len(best.open) && (c.Up && !best.Up || c.Up == best.Up && c.IdleAt > best.IdleAt) {
 			best = c
 		}
 	}
 	return best
 }
 
+// Quiet gives the connection with something open that has brought nothing for longest, or none.
+func (p *Pool) Quiet(most int) *Connection {
+	var best *Connection
+	for _, c := range p.Connections {
+		if c.Up && !c.Left && len(c.open) > 0 && len(c.open) < most && (best == nil || c.Heard < best.Heard) {
+			best = c
+		}
+	}
+	return best
+}
+
+// Opened tells how much is open on it.
+func (c *Connection) Opened() int { return len(c.open) }
+
 // knows: an id stands once on a connection, or nobody could tell whose answer it is.
 func (c *Connection) knows(id string) bool {
 	_, open := c.open[id]
--- a/internal/engines/resp.go
+++ b/internal/engines/resp.go
@@ -43,7 +43,8 @@
 
 const (
 	mostParts = 16
-	mostBulk  = 1 << 20
+	mostBulk  = 8 << 10 // a page holds 6,000 bytes
+	columns   = 3
 	mostLine  = 24
 	shown     = 512 // bytes of id, word and fields that count
 )
@@ -112,6 +113,29 @@
 	return n, true, nil
 }
 
+// Rows tells whether a page holds whole rows of three text columns. Noise shows where a byte is none of text.
+func Rows(page *buffers.Chain) bool {
+	var b byte
+	tabs, in := 0, page.Reader()
+	for {
+		c, err := in.ReadByte()
+		if err != nil {
+			return b == '\n'
+		}
+		switch b = c; {
+		case c == '\t':
+			tabs++
+		case c == '\n':
+			if tabs != columns-1 {
+				return false
+			}
+			tabs = 0
+		case c < ' ' || c == 0x7f:
+			return false
+		}
+	}
+}
+
 // Each goes through the fields of a list such as "name=value,name=value".
 func Each(list string, separator, equals byte, take func(name, value string)) {
 	if list == "-" {
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -294,9 +294,13 @@
 		p.half = false
 		l.post(event)
 	}
-	if l.here(p) && p.in.Len() > 0 && !p.half && p.kind == toClient {
+	if l.here(p) && p.in.Len() > 0 && !p.half {
 		p.half = true
-		l.post(router.ClientBegan{Client: p.number})
+		if p.kind == toClient {
+			l.post(router.ClientBegan{Client: p.number})
+		} else {
+			l.post(router.EngineBegan{Connection: p.number})
+		}
 	}
 	if l.here(p) && p.in.Len() > buffers.Size && l.pool.Used()*buffers.Size > l.mostHeld {
 		l.broken(p, router.NoMemory)
--- a/internal/router/connections.go
+++ b/internal/router/connections.go
@@ -5,15 +5,31 @@
 	"slices"
 )
 
+const (
+	// spread is how many connections to an engine are opened before batches share them. One spoilt or lost answer
+	// takes all with it that is open on its connection; each costs a handshake and descriptors.
+	spread = 8
+	// wholeReply is how long a reply that has begun may take to become whole; it comes in one piece.
+	wholeReply = 0.5
+)
+
+// halfReply is due when a reply that began at a time must be whole.
+type halfReply struct {
+	line *line
+	at   float64
+}
+
 // pick finds a connection for one more, or begins one.
 func (r *Router) pick(e *engine, id string) (*line, End) {
-	if c := e.pool.Pick(id, r.settings.Settings.Multiplex); c != nil {
+	c := e.pool.Pick(id, r.settings.Settings.Multiplex)
+	room := len(r.connections)+r.dialing+2 <= r.most
+	if c != nil && (c.Opened() == 0 || !room || len(e.pool.Connections) >= min(r.spread, r.most/(2*max(len(r.engines), 1)))) {
 		return r.connections[c.Number], 0
 	}
 	if e.address == "" {
 		return nil, Unaddressed
 	}
-	if len(r.connections)+r.dialing+2 > r.most {
+	if !room {
 		return nil, NoDescriptor
 	}
 	r.dialing++
@@ -42,6 +58,27 @@
 	r.rest(l)
 }
 
+// suspect: what should have come did not, and nothing else came either. A connection on which an answer was lost may
+// stay open and of no use, as where a machine is cut off: an answer to a check tells, and so does none.
+func (r *Router) suspect(l *line) {
+	l.Suspect = true
+	if l.Idle() || l.check != nil || !r.settings.Settings.MayProbe {
+		return
+	}
+	l.check = &probe{engine: l.engine, line: l, tag: tag(r.number())}
+	l.Open(l.check.tag, l.check)
+	r.timers.add(r.now+r.settings.Settings.DialTime, l.check)
+	r.send(l, l.check)
+}
+
+// halfDue: the rest of a reply never came, and nothing after it can be read.
+func (r *Router) halfDue(h halfReply) {
+	if l := h.line; r.connections[l.Number] == l && l.half == h.at {
+		r.log(Warn, "reply stops short", "engine", l.engine.name)
+		r.closeLine(l, BadInput)
+	}
+}
+
 // rest looks after a connection on which nothing is open any more.
 func (r *Router) rest(l *line) {
 	if !l.Idle() || r.connections[l.Number] != l {
--- a/internal/router/dispatches.go
+++ b/internal/router/dispatches.go
@@ -8,7 +8,14 @@
 	"pitchfield/internal/engines"
 )
 
-const mostPages = 64 // far more than the largest result has
+const (
+	mostPages  = 64    // far more than the largest result has
+	mostResult = 48000 // bytes
+	pageAgain  = 0.1   // a page is there and comes at once; it is asked for again after this, doubled each time
+)
+
+// missingPages is due when pages that were asked for should have come.
+type missingPages struct{ *dispatch }
 
 // dispatch is one that is out until it has its ending.
 type dispatch struct {
@@ -23,6 +30,10 @@
 	ended        bool
 	pages        []*buffers.Chain // from the first on; nil: still to come
 	missing      int
+	askedAt      float64 // for pages
+	again        float64 // seconds until they are asked for again
+	paging       *timer
+	size         int // of the pages that are there
 	work, memory float64
 	report       *brain.Report
 	timer        *timer
@@ -78,6 +89,7 @@
 	d.ended = true
 	d.engine.out--
 	r.timers.stop(d.timer)
+	r.timers.stop(d.paging)
 	for _, p := range d.pages {
 		p.Release()
 	}
@@ -87,11 +99,18 @@
 	}
 	b := d.batch
 	r.log(Debug, "ended", "id", b.id, "no", d.no, "engine", d.engine.name, "how", int(how), "took", r.now-d.sentAt,
-		"work", d.work, "memory", d.memory, "over", b.client == nil)
+		"work", d.work, "memory", d.memory, "over", b.client == nil, "missing", d.missing, "connection", d.connection())
 	r.brain.Outcome(b.Batch, d.no, how, b.client == nil, r.now-d.sentAt, d.work, d.memory, report)
 	r.forget(b)
 }
 
+func (d *dispatch) connection() uint64 {
+	if d.line == nil {
+		return 0
+	}
+	return d.line.Number
+}
+
 // giveUp ends a dispatch of ours before the engine did.
 func (r *Router) giveUp(d *dispatch, how brain.Ending) {
 	if d.ended {
@@ -100,18 +119,21 @@
 	l := d.line
 	if d.written {
 		r.command(l, func(out *buffers.Chain) { engines.WriteAbort(out, d.batch.id) })
-		// Nothing came since the fetch was written: what is written next might lie in the same hole for long, as
-		// where a machine is cut off. What comes after goes on a new connection, which proves at once whether the
-		// engine can be reached. It costs a handshake where one was only slow and has no notes to tell.
-		l.Suspect = l.Suspect || l.Heard <= d.wroteAt
 	} else {
 		how = unsent[how]
 	}
 	r.ended(d, how, nil)
-	if l != nil {
-		l.Close(d.batch.id, d.written, r.now)
-		r.rest(l)
+	if l == nil {
+		return
+	}
+	l.Close(d.batch.id, d.written, r.now)
+	if d.written && l.Heard <= d.wroteAt {
+		// Nothing came since the fetch was written: what is written next might lie in the same hole for long, as
+		// where a machine is cut off. What comes after goes on a new connection, which proves at once whether the
+		// engine can be reached. It costs a handshake where one was only slow and has no notes to tell.
+		r.suspect(l)
 	}
+	r.rest(l)
 }
 
 // unsent is what giving up a dispatch proves whose bytes never left this router.
@@ -123,7 +145,7 @@
 		reply.Body.Release()
 		return
 	}
-	l.Heard, l.Suspect = r.now, false
+	l.Heard, l.Suspect, l.half = r.now, false, 0
 	switch what := l.Get(reply.ID).(type) {
 	case *dispatch:
 		r.said(what, reply)
@@ -154,12 +176,12 @@
 			body.Release()
 			return
 		}
-		if said.Pages > mostPages {
-			finish(brain.Errored)
+		if said.Pages < 1 || said.Pages > mostPages || !r.whole(d, said.Pages == 1, body) {
+			r.unusable(d, reply)
 			return
 		}
 		d.work, d.memory = said.Work, said.Memory
-		d.pages = make([]*buffers.Chain, max(said.Pages, 1))
+		d.pages = make([]*buffers.Chain, said.Pages)
 		d.missing = len(d.pages)
 		if d.batch.client == nil { // nobody wants the pages
 			if d.missing > 1 {
@@ -168,12 +190,21 @@
 			finish(brain.Returned)
 			return
 		}
-		for n := 1; n < len(d.pages); n++ {
-			r.command(d.line, func(out *buffers.Chain) { engines.WriteMore(out, d.batch.id, n) })
+		if d.again = pageAgain; d.missing > 1 {
+			r.askPages(d)
 		}
 		r.page(d, 0, body)
 	case engines.More:
-		r.page(d, said.Page, body)
+		switch n := said.Page; {
+		case n < 1 || n >= len(d.pages):
+			r.unusable(d, reply)
+		case d.pages[n] != nil: // a second copy
+			body.Release()
+		case !r.whole(d, false, body):
+			r.unusable(d, reply)
+		default:
+			r.page(d, n, body)
+		}
 	case engines.Full, engines.Past:
 		if d.pages != nil {
 			finish(brain.Errored)
@@ -189,16 +220,53 @@
 			r.brain.News(d.batch.Batch, d.no, kind, said.Level)
 		}
 	default:
-		body.Release()
+		r.unusable(d, reply)
 	}
 }
 
-// page takes a page in. Only with the last of them is the answer whole and the dispatch returned.
-func (r *Router) page(d *dispatch, n int, body *buffers.Chain) {
-	if n < 0 || n >= len(d.pages) || d.pages[n] != nil {
-		body.Release()
+// whole: rows of three columns of text, all of them ended, and no more than a result holds.
+func (r *Router) whole(d *dispatch, mayBeEmpty bool, body *buffers.Chain) bool {
+	if body == nil || body.Len() == 0 {
+		return mayBeEmpty
+	}
+	d.size += body.Len()
+	return d.size <= mostResult && engines.Rows(body)
+}
+
+// unusable: an answer that can't be passed on. What comes after it on the connection can't be trusted either; what is
+// open there ends by the table.
+func (r *Router) unusable(d *dispatch, reply *engines.Reply) {
+	r.log(Warn, "unusable answer", "engine", d.engine.name, "word", int(reply.Word), "fields", reply.Fields,
+		"bytes", reply.Body.Len())
+	reply.Body.Release()
+	r.closeLine(d.line, BadInput)
+}
+
+func (r *Router) askPages(d *dispatch) {
+	for n := 1; n < len(d.pages); n++ {
+		if d.pages[n] == nil {
+			r.command(d.line, func(out *buffers.Chain) { engines.WriteMore(out, d.batch.id, n) })
+		}
+	}
+	d.askedAt = r.now
+	d.paging = r.timers.add(r.now+d.again, missingPages{d})
+}
+
+// pagesDue: answers get lost, and the engine still has its pages. Where nothing came at all since they were asked for,
+// the connection may be of no use. It hurts nothing: a page that comes twice is dropped.
+func (r *Router) pagesDue(d *dispatch) {
+	if d.ended || d.missing == 0 {
 		return
 	}
+	if d.line.Heard <= d.askedAt {
+		r.suspect(d.line)
+	}
+	d.again *= 2
+	r.askPages(d)
+}
+
+// page takes a page in. Only with the last of them is the answer whole and the dispatch returned.
+func (r *Router) page(d *dispatch, n int, body *buffers.Chain) {
 	if body == nil {
 		body = r.pool.Chain()
 	}
--- a/internal/router/events.go
+++ b/internal/router/events.go
@@ -28,6 +28,7 @@
 		Connection uint64
 		Reply      *engines.Reply
 	}
+	EngineBegan struct{ Connection uint64 } // part of a reply is there, after whole ones or none
 	EngineEnded struct {
 		Connection uint64
 		End        End
@@ -48,6 +49,7 @@
 func (ClientEnded) event()  {}
 func (EngineOpened) event() {}
 func (EngineSaid) event()   {}
+func (EngineBegan) event()  {}
 func (EngineEnded) event()  {}
 func (ListAnswered) event() {}
 func (TimerFired) event()   {}
--- a/internal/router/host_test.go
+++ b/internal/router/host_test.go
@@ -46,6 +46,7 @@
 	c.Known = directory.List{Serial: 1, Engines: engines}
 	h := &host{t: t, now: 100, pool: &buffers.Pool{}, timer: 1e9, written: map[uint64]string{}, answers: map[uint32]string{}}
 	h.Router = New(c, h.pool, h.now)
+	h.spread = 1
 	h.tell(ClientOpened{1})
 	return h
 }
--- a/internal/router/probes.go
+++ b/internal/router/probes.go
@@ -17,7 +17,12 @@
 
 func (r *Router) probe(e *engine) {
 	p := &probe{engine: e, tag: tag(r.number())}
-	l, _ := r.pick(e, p.tag)
+	var l *line
+	if c := e.pool.Quiet(r.settings.Settings.Multiplex); c != nil { // its answer tells of the connection too
+		l = r.connections[c.Number]
+	} else {
+		l, _ = r.pick(e, p.tag)
+	}
 	if l == nil {
 		p.ended = true
 		r.brain.Probed(&e.Engine, false, nil)
@@ -40,7 +45,11 @@
 		rep = report(load)
 	}
 	r.log(Debug, "probed", "engine", p.engine.name, "ok", ok, "load", load)
-	r.brain.Probed(&p.engine.Engine, ok, rep)
+	if p.line.check != p { // that one is ours
+		r.brain.Probed(&p.engine.Engine, ok, rep)
+	} else {
+		p.line.check = nil
+	}
 	p.line.Close(p.tag, late, r.now)
 	r.rest(p.line)
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -44,6 +44,7 @@
 	connections map[uint64]*line // lineEnded deletes
 	numbers     uint64           // of connections to engines and of probes
 	most        int              // descriptors for connections to engines
+	spread      int              // connections to one engine before batches share them
 	dialing     int              // connections that are not up yet; each takes a second descriptor for a moment
 
 	clients     map[uint64]*client      // clientEnded deletes
@@ -80,8 +81,10 @@
 type line struct {
 	*engines.Connection
 	engine *engine
-	queue  []any  // dispatches and probes, in order
-	timer  *timer // to come up, or to close when idle
+	queue  []any   // dispatches and probes, in order
+	timer  *timer  // to come up, or to close when idle
+	check  *probe  // whether it is of use, once that is in doubt
+	half   float64 // a reply has begun and is not whole since; 0: none
 }
 
 // New starts a router; its first effects come with the first event.
@@ -98,6 +101,7 @@
 	if s.DialTime <= 0 {
 		s.DialTime = 0.25
 	}
+	r.spread = spread
 	r.bound()
 	r.brain.Clock(now)
 	r.listed(c.Known)
@@ -165,6 +169,11 @@
 		r.engineOpened(e.Connection)
 	case EngineSaid:
 		r.engineSaid(e.Connection, e.Reply)
+	case EngineBegan:
+		if l := r.connections[e.Connection]; l != nil {
+			l.half = r.now
+			r.timers.add(r.now+wholeReply, halfReply{l, r.now})
+		}
 	case EngineEnded:
 		if l := r.connections[e.Connection]; l != nil {
 			r.lineEnded(l, e.End)
@@ -218,7 +227,14 @@
 	case *dispatch:
 		r.giveUp(what, brain.TimedOut)
 	case *probe:
+		if l := what.line; !what.ended && l.check == what {
+			r.closeLine(l, ClosedSuspect)
+		}
 		r.probed(what, false, "", true)
+	case missingPages:
+		r.pagesDue(what.dispatch)
+	case halfReply:
+		r.halfDue(what)
 	case *line:
 		r.lineDue(what)
 	case asking:
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strconv"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -19,13 +20,13 @@
 	stream, id := h.batch("lookup", 2000)
 	c := h.up()
 	assert.Contains(t, h.written[c], "queue=lookup,budget=1")
-	h.say(c, id, engines.Done, "sheets=3,toil=80,room=40", "a\n")
+	h.say(c, id, engines.Done, "sheets=3,toil=80,room=40", "a\t2\t3\n")
 	assert.Contains(t, h.written[c], "more\r\n$16\r\n00000000000000f1\r\n$1\r\n1\r\n")
-	h.say(c, id, engines.More, "sheet=2", "c\n")
+	h.say(c, id, engines.More, "sheet=2", "c\t2\t3\n")
 	assert.Empty(t, h.answers, "a page is missing")
-	h.say(c, id, engines.More, "sheet=1", "b\n")
-	assert.Equal(t, ok+"a\nb\nc\n", h.answers[stream])
-	h.say(c, id, engines.More, "sheet=1", "b\n")
+	h.say(c, id, engines.More, "sheet=1", "b\t2\t3\n")
+	assert.Equal(t, ok+"a\t2\t3\nb\t2\t3\nc\t2\t3\n", h.answers[stream])
+	h.say(c, id, engines.More, "sheet=1", "b\t2\t3\n")
 	assert.Zero(t, h.pool.Used(), "nothing is kept")
 	assert.Empty(t, h.batches)
 }
@@ -35,13 +36,13 @@
 	stream, id := h.batch("upload", 5000)
 	again, id2 := h.batch("lookup", 3000)
 	c := h.up()
-	h.say(c, id, engines.Done, "sheets=2", "a\n")
-	h.say(c, id2, engines.Done, "sheets=2", "a\n")
+	h.say(c, id, engines.Done, "sheets=2", "a\t2\t3\n")
+	h.say(c, id2, engines.Done, "sheets=2", "a\t2\t3\n")
 	h.tell(EngineEnded{c, ResetByPeer})
 	assert.Equal(t, failure, h.answers[stream], "once-only: an error, and no other dispatch")
 	c = h.up()
-	h.say(c, id2, engines.Done, "sheets=1", "z\n")
-	assert.Equal(t, ok+"z\n", h.answers[again], "repeatable: from its first page on")
+	h.say(c, id2, engines.Done, "sheets=1", "z\t2\t3\n")
+	assert.Equal(t, ok+"z\t2\t3\n", h.answers[again], "repeatable: from its first page on")
 }
 
 func TestWhatNeverLeftNeverRan(t *testing.T) {
@@ -50,8 +51,8 @@
 		stream, id := h.batch("upload", 5000)
 		h.tell(EngineEnded{h.dials[0].Connection, end})
 		require.Len(t, h.dials, 2, "once-only goes on after %s", end)
-		h.say(h.up(), id, engines.Done, "sheets=1", "a\n")
-		assert.Equal(t, ok+"a\n", h.answers[stream])
+		h.say(h.up(), id, engines.Done, "sheets=1", "a\t2\t3\n")
+		assert.Equal(t, ok+"a\t2\t3\n", h.answers[stream])
 		assert.Equal(t, 1, h.fetches(id))
 	}
 }
@@ -82,7 +83,7 @@
 	h.pass(1.1)
 	assert.Equal(t, failure, h.answers[stream])
 	assert.Contains(t, h.written[c], "abort\r\n$16\r\n00000000000000f1")
-	h.say(c, id, engines.Done, "sheets=1", "late\n")
+	h.say(c, id, engines.Done, "sheets=1", "late\t2\t3\n")
 	assert.Equal(t, failure, h.answers[stream])
 	assert.Zero(t, h.pool.Used())
 }
@@ -124,10 +125,10 @@
 	_, other := h.batch("lookup", 2000)
 	c := h.up()
 	h.tell(ClientSaid{1, &clients.Frame{Type: clients.Leave, Stream: stream}})
-	h.say(c, id, engines.Done, "sheets=4", "a\n")
+	h.say(c, id, engines.Done, "sheets=4", "a\t2\t3\n")
 	assert.Contains(t, h.written[c], "done\r\n$16\r\n00000000000000f1", "nobody wants the pages")
 	h.tell(ClientEnded{1, ClosedByPeer})
-	h.say(c, other, engines.Done, "sheets=1", "a\n")
+	h.say(c, other, engines.Done, "sheets=1", "a\t2\t3\n")
 	assert.Empty(t, h.answers)
 	assert.Empty(t, h.batches)
 	assert.Zero(t, h.pool.Used())
@@ -153,10 +154,100 @@
 	stream, id = h.batch("lookup", 2000)
 	c := h.up()
 	h.say(c, "nobody", engines.Done, "sheets=x", "a")
-	h.say(c, id, engines.More, "sheet=7", "a")
-	h.say(c, id, engines.Unknown, "", "a")
-	h.say(c, id, engines.Done, "sheets=1", "a\n")
-	assert.Equal(t, ok+"a\n", h.answers[stream])
+	h.say(c, id, engines.Done, "sheets=1", "a\t2\t3\n")
+	assert.Equal(t, ok+"a\t2\t3\n", h.answers[stream])
+}
+
+// What can't be passed on ends its connection: what else is open there may have run and goes on by the one table.
+func TestAnUnusableAnswerEndsItsConnectionAndNothingOfItIsPassedOn(t *testing.T) {
+	row := "a\tb\tc\n"
+	for _, bad := range []struct {
+		word         engines.Word
+		fields, body string
+	}{{engines.Done, "sheets=1", "a\tb\n"}, {engines.Done, "sheets=1", "a\tb\tc"}, {engines.Done, "sheets=1", "a\x01\tb\tc\n"},
+		{engines.Done, "toil=3", row}, {engines.Done, "sheets=0", row}, {engines.Done, "sheets=9999", row},
+		{engines.Done, "sheets=2", ""}, {engines.Done, "sheets=1", strings.Repeat(row, mostResult/len(row)+1)},
+		{engines.More, "sheet=7", row}, {engines.More, "sheet=1", row}, {engines.Unknown, "", row}} {
+		h := start(t, east("s-1"))
+		stream, id := h.batch("lookup", 3000)
+		once, _ := h.batch("upload", 3000)
+		h.say(h.up(), id, bad.word, bad.fields, bad.body)
+		assert.Equal(t, []End{BadInput}, h.closed(), "%v", bad)
+		assert.Equal(t, failure, h.answers[once])
+		h.pass(0.3)
+		h.say(h.up(), id, engines.Done, "sheets=1", row)
+		assert.Equal(t, ok+row, h.answers[stream])
+		assert.Zero(t, h.pool.Used())
+	}
+}
+
+func TestAReplyThatStopsShortEndsItsConnection(t *testing.T) {
+	h := start(t, east("s-1"))
+	stream, id := h.batch("upload", 9000)
+	c := h.up()
+	h.tell(EngineBegan{c})
+	h.pass(0.4)
+	h.say(c, id, engines.Tell, "detail=done,val=0.5", "")
+	h.pass(0.4)
+	assert.Empty(t, h.closed(), "it became whole")
+	h.tell(EngineBegan{c})
+	h.pass(0.6)
+	assert.Equal(t, []End{BadInput}, h.closed())
+	assert.Equal(t, failure, h.answers[stream])
+}
+
+func TestAPageThatGotLostIsAskedForAgain(t *testing.T) {
+	h := start(t, east("s-1"))
+	stream, id := h.batch("upload", 9000)
+	c := h.up()
+	h.say(c, id, engines.Done, "sheets=3", "a\t2\t3\n")
+	h.say(c, id, engines.More, "sheet=2", "c\t2\t3\n")
+	h.say(c, id, engines.More, "sheet=2", "c\t2\t3\n")
+	h.pass(0.15)
+	more := "more\r\n$16\r\n" + id + "\r\n$1\r\n"
+	assert.Equal(t, 2, strings.Count(h.written[c], more+"1"))
+	assert.Equal(t, 1, strings.Count(h.written[c], more+"2"))
+	h.say(c, id, engines.More, "sheet=1", "b\t2\t3\n")
+	assert.Equal(t, ok+"a\t2\t3\nb\t2\t3\nc\t2\t3\n", h.answers[stream])
+	assert.Zero(t, h.pool.Used())
+}
+
+// An answer on it was lost, and it stays open: a check tells whether it is of use.
+func TestAConnectionThatSaysNothingMoreIsCheckedAndEnded(t *testing.T) {
+	h := start(t, east("s-1"))
+	h.settings.Settings.MayProbe = true
+	slow, slowID := h.batch("upload", 9000)
+	_, id := h.batch("lookup", 3000)
+	c := h.up()
+	h.say(c, id, engines.Done, "sheets=2", "a\t2\t3\n")
+	h.pass(0.15)
+	require.NotNil(t, h.connections[c].check)
+	h.say(c, h.connections[c].check.tag, engines.Fit, "-", "")
+	assert.False(t, h.connections[c].Suspect)
+	h.pass(0.25)
+	assert.Contains(t, h.connections, c)
+	h.pass(0.75)
+	assert.Equal(t, []End{ClosedSuspect}, h.closed())
+	assert.Equal(t, failure, h.answers[slow])
+	assert.Equal(t, 1, h.fetches(slowID))
+}
+
+func TestBatchesShareAConnectionOnlyOnceThereAreMany(t *testing.T) {
+	h := start(t, east("s-1"))
+	h.spread = 3
+	for range 5 {
+		_, id := h.batch("lookup", 2000)
+		if len(h.dials) == 1 && h.fetches(id) == 0 {
+			h.up()
+		}
+	}
+	assert.Len(t, h.dials, 3)
+	h = start(t, east("s-1"))
+	h.spread, h.most = 3, 3
+	for range 4 {
+		h.batch("lookup", 2000)
+	}
+	assert.Len(t, h.dials, 1, "few descriptors")
 }
 
 func (h *host) ask(client uint64, stream uint32, id string, fields ...string) {
@@ -217,7 +308,7 @@
 	busy, id := h.batch("upload", 9000)
 	h.tell(ClientOpened{2}, ClientOpened{3})
 	h.ask(2, 101, "00000000000000bb")
-	h.say(h.up(), "00000000000000bb", engines.Done, "sheets=1", "a\n")
+	h.say(h.up(), "00000000000000bb", engines.Done, "sheets=1", "a\t2\t3\n")
 	h.pass(0.3)
 	h.tell(ClientOpened{4}, ClientOpened{5})
 	assert.Equal(t, map[uint64]End{3: Crowded}, h.closedClients(), "it has said nothing")
@@ -227,8 +318,8 @@
 	h.pass(2.6)
 	assert.Equal(t, map[uint64]End{3: Crowded, 2: Crowded, 4: Silent, 5: Silent, 6: Silent}, h.closedClients())
 	assert.Equal(t, failure, h.answers[0], "half a frame")
-	h.say(h.dials[0].Connection, id, engines.Done, "sheets=1", "a\n")
-	assert.Equal(t, ok+"a\n", h.answers[busy])
+	h.say(h.dials[0].Connection, id, engines.Done, "sheets=1", "a\t2\t3\n")
+	assert.Equal(t, ok+"a\t2\t3\n", h.answers[busy])
 	h.pass(idleClient - 1)
 	assert.Contains(t, h.clients, uint64(1))
 	h.pass(2)
@@ -244,7 +335,7 @@
 	for _, d := range h.dials {
 		h.tell(EngineOpened{d.Connection})
 		for _, id := range []string{one, two, three} {
-			h.say(d.Connection, id, engines.Done, "sheets=1", "a\n")
+			h.say(d.Connection, id, engines.Done, "sheets=1", "a\t2\t3\n")
 		}
 	}
 	h.pass(11.9)
@@ -289,8 +380,8 @@
 	assert.Same(t, first, h.engines["s-1"])
 	h.pass(0.1)
 	require.Len(t, h.dials, 1)
-	h.say(h.up(), "00000000000000f1", engines.Done, "sheets=1", "a\n")
-	assert.Equal(t, ok+"a\n", h.answers[stream])
+	h.say(h.up(), "00000000000000f1", engines.Done, "sheets=1", "a\t2\t3\n")
+	assert.Equal(t, ok+"a\t2\t3\n", h.answers[stream])
 }
 
 func TestADialThatNeverEndsIsGivenUp(t *testing.T) {
@@ -327,7 +418,7 @@
 	h := start(t, east("s-1"))
 	_, id := h.batch("lookup", 2000)
 	c := h.up()
-	h.say(c, id, engines.Done, "sheets=1", "a\n")
+	h.say(c, id, engines.Done, "sheets=1", "a\t2\t3\n")
 	for _, one := range h.timers {
 		_, left := one.what.(*dispatch)
 		assert.False(t, left)
@@ -338,7 +429,7 @@
 	h := start(t, east("s-1"))
 	_, id := h.batch("lookup", 2000)
 	c := h.up()
-	h.say(c, id, engines.Done, "sheets=1", "a\n")
+	h.say(c, id, engines.Done, "sheets=1", "a\t2\t3\n")
 	h.tell(ListAnswered{h.queries[0], directory.List{Serial: 2, Engines: []directory.Engine{east("s-2")}}})
 	assert.Equal(t, []End{LeftAddress}, h.closed())
 	h.batch("lookup", 2000)
@@ -361,7 +452,7 @@
 			Engines: []directory.Engine{east("s-" + strconv.Itoa(int(n)+2))}}})
 	}
 	assert.Len(t, h.engines, 51, "one that flaps is the same one")
-	h.say(c, id, engines.Done, "sheets=1", "a\n")
+	h.say(c, id, engines.Done, "sheets=1", "a\t2\t3\n")
 	h.pass(keepGone + 1)
 	assert.Len(t, h.engines, 1)
 	assert.Len(t, h.byBrain, 1)
@@ -387,8 +478,8 @@
 	h.tell(ListAnswered{after, directory.List{Serial: 2, Engines: []directory.Engine{east("s-1"), east("s-2")}}})
 	assert.Contains(t, h.engines, "s-2")
 	h.tell(Reloaded{next}, Reloaded{next})
-	h.say(c, id, engines.Done, "sheets=1", "a\n")
-	assert.Equal(t, ok+"a\n", h.answers[stream])
+	h.say(c, id, engines.Done, "sheets=1", "a\t2\t3\n")
+	assert.Equal(t, ok+"a\t2\t3\n", h.answers[stream])
 }
 
 func TestAtTheLimitOfDescriptorsBatchesStillEndWell(t *testing.T) {
@@ -410,8 +501,8 @@
 	h.tell(ClientSaid{1, &clients.Frame{Type: clients.AskReady, Stream: 99, Body: h.pool.Chain()}})
 	h.pass(0.5)
 	late, _ := h.batch("lookup", 2000)
-	h.say(c, id, engines.Done, "sheets=1", "a\n")
-	assert.Equal(t, ok+"a\n", h.answers[early])
+	h.say(c, id, engines.Done, "sheets=1", "a\t2\t3\n")
+	assert.Equal(t, ok+"a\t2\t3\n", h.answers[early])
 	stuck, _ := h.batch("upload", 9000)
 	h.pass(2.0)
 	assert.Contains(t, h.answers, late)
