--- a/brain/brain.go
+++ b/brain/brain.go
@@ -18,9 +18,8 @@
 	firstMark, leastMark, mostMark = 1.5, 0.4, 4.0 // threads a core below which a batch starts
 
 	markStep, goodStretch = 0.02, 1.5 // it follows answers to this time over time alone: full, not crowded
-	blocked               = 2.0       // threads a core that a load on the same data set counts for
 	homeBonus, homes      = 0.4, 2    // threads a core that a likely warm data set is worth, on so many engines
-	slowLimit             = 4         // slow batches that may wait before the most slowed leaves
+	blocked, slowLimit    = 2.0, 4    // threads a core for a load on the data set; slow batches that wait
 
 	firstLoad, mostLoad, loadTime = 0.9, 0.95, 2.0 // load until something is seen, its clamp, and its pace
 
@@ -32,17 +31,15 @@
 	memoryFull, blindFull = 0.65, 0.55  // share of memory for heavy batches: all engines reported, and none
 	memoryRoom, roomSpare = 8.0, 4.0    // batches of its like that must find room before one is sent
 	memorySpare, generous = 1.25, 3.0   // grant over the corrected need; times that, where only need counts
-	warmLoad              = 0.85        // the busy share of the cores that counts as capacity
 	probeWorth, probeRest = 0.005, 0.25 // of the result that probes may cost, and between those of an engine
-	coldShare             = 0.65        // of the cold budget is used; the rest is for estimates that lie
+	warmLoad, coldShare   = 0.85, 0.65  // busy share that is capacity; of the cold budget
 	coldRouters           = 16          // routers that share it
 
-	asideFirst, asideMost  = 1.0, 8.0  // an engine set aside is tried again after this, doubled each time
-	rowMost, forgetTime    = 6.0, 8.0  // failures in a row that do it, and how long they are remembered
-	failCost               = 3.0       // threads a core that sure failure counts for
-	sweepEvery, standstill = 0.05, 0.2 // woken so much too late, a router has stood still
-	// Clients leave on the dot: so much of their time is for both ways and a standstill of either side. It hurts
-	// where an answer would have come within these last milliseconds.
+	asideFirst, asideMost         = 1.0, 8.0      // an engine set aside is tried again then, doubled each time
+	rowMost, failCost, forgetTime = 6.0, 3.0, 8.0 // failures in a row; threads a core for sure ones, how long
+	notesMissed                   = 2.5           // times the pace of notes without one: the dispatch is lost
+	sweepEvery, standstill        = 0.05, 0.2     // woken so much too late, a router has stood still
+	// Clients leave on the dot: so much is for the ways and standstills. It hurts answers of the last moment.
 	wayShare, leastWay, mostWay = 0.05, 0.04, 0.25
 	trustLoad, mostTries        = 1.0, 16  // estimates more that full load takes; batches no engine fits, a pull
 	overdue, restartGain        = 2.0, 2.0 // times the usual longest time; a fresh start must be so much quicker
@@ -81,7 +78,7 @@
 		fallTime: s.FallTime, settle: s.SettleTime, tick: s.Tick, freeFurther: s.FreeFurther, generous: 1,
 		further: s.FurtherShare, furtherWindow: s.FurtherWindow, now: now, started: now, comeBack: s.LongestDefer,
 		random: seed&0xffffffff | 1<<33, lanes: map[uint64]*lane{}, load: firstLoad, mark: firstMark,
-		swept: now, sweepAt: now, wakeAt: math.Inf(1)}
+		swept: now, sweepAt: now, wakeAt: math.Inf(1), notesEvery: s.NotesEvery}
 	if r.grants && s.Shortage == Overcommit {
 		r.generous = generous
 	}
@@ -184,8 +181,7 @@
 		r.meanDemand += (b.demand - r.meanDemand) / 64
 		r.like = r.like.add(r.like, -1.0/64).add(amount{1, g.Threads, b.memory * memorySpare}, b.alone)
 	}
-	b.lane = &lane{}
-	if g.InOrder && b.Key != 0 {
+	if b.lane = (&lane{}); g.InOrder && b.Key != 0 {
 		b.lane = cmp.Or(r.lanes[b.Key], b.lane)
 		r.lanes[b.Key] = b.lane
 	}
@@ -204,13 +200,11 @@
 	return slices.DeleteFunc(list, func(t T) bool { return t == one })
 }
 
-func (r *Router) over(b *Batch) {
+func (r *Router) Left(b *Batch) {
 	b.Over = true
 	r.held, b.lane.line = without(r.held, b), without(b.lane.line, b)
 }
 
-func (r *Router) Left(b *Batch) { r.over(b) }
-
 // Outcome ends a dispatch; last says that the batch is over with it. Work and memory are what it needed.
 func (r *Router) Outcome(b *Batch, no int, end Ending, last bool, took, work, memory float64, rep *Report) {
 	if no >= len(b.dispatches) || b.dispatches[no].ended {
@@ -239,7 +233,7 @@
 		r.learn(b, took, sane(work, 1e5), sane(memory, 1e7))
 	}
 	if last {
-		r.over(b)
+		r.Left(b)
 	} else if !b.Over {
 		r.hold(b)
 		r.sweepAt = r.now
@@ -288,7 +282,8 @@
 			}
 			fallthrough
 		case TimedOut:
-			if h.row >= rowMost || h.row >= 3 && h.bad > h.good && d.engine.asideUntil == 0 || h.asideUntil > 0 {
+			failing := h.row >= rowMost || h.row >= 3 && h.bad > h.good && d.engine.asideUntil == 0
+			if r.now >= h.asideUntil && (failing || h.asideUntil > 0) {
 				r.aside(d.engine, h, "failing")
 			}
 		}
@@ -299,9 +294,6 @@
 }
 
 func (r *Router) aside(e *Engine, h *health, why string) {
-	if r.now < h.asideUntil {
-		return
-	}
 	h.asideAt, h.backoff = r.now, min(max(asideFirst, 2*h.backoff), asideMost)
 	h.asideUntil = r.now + h.backoff*(0.75+0.5*r.draw())
 	r.log("engine %d aside for %.1f s: %s, good %.0f bad %.0f, for all groups %t", e.ID, h.backoff, why, h.good,
@@ -351,7 +343,7 @@
 		return
 	}
 	d := b.dispatches[no]
-	if d.engine.signAt = r.now; kind == Progress {
+	if d.engine.signAt, d.noteAt = r.now, r.now; kind == Progress {
 		d.share, d.shareAt = sane(level, 1), r.now
 	}
 }
@@ -392,7 +384,7 @@
 
 // giveUp answers a batch for good, at once. A pushback is a promise that nothing ran or a repeat is harmless.
 func (r *Router) giveUp(b *Batch) Decision {
-	r.over(b)
+	r.Left(b)
 	anywhere := b.bound == nil || b.Group.Effect == Repeatable || b.Group.Scope == WithinAll
 	if anywhere && r.harmless(b, r.comeBack) {
 		return Decision{Kind: PushBack, Batch: b, Wait: r.comeBack}
@@ -410,6 +402,8 @@
 		b.Group.Effect == Referenced && r.now+later < b.boundAt+b.Group.Window
 }
 
+func (r *Router) needs(b *Batch) float64 { return (1+r.load*trustLoad)*b.alone + 3*sweepEvery } // to be tried
+
 func (r *Router) spent() bool {
 	old := func(at float64) bool { return at <= r.now-r.furtherWindow }
 	r.takes, r.furthers = slices.DeleteFunc(r.takes, old), slices.DeleteFunc(r.furthers, old)
@@ -429,7 +423,7 @@
 	}
 	for _, b := range slices.Clone(r.held) {
 		// Given up: it can no longer be answered with any utility, or not be sent again.
-		if !r.again(b) || r.now+(1+r.load*trustLoad)*b.alone+3*sweepEvery > b.endAt {
+		if !r.again(b) || r.now+r.needs(b) > b.endAt {
 			r.next = append(r.next, r.giveUp(b))
 		}
 	}
@@ -447,13 +441,14 @@
 			if age > overdue*usual+0.2 && e.signAt < d.sent {
 				late++
 			}
-			if r.mayCancel && !d.cancel && g.Effect == Repeatable && !d.batch.Over &&
-				len(d.batch.dispatches) < r.most && r.startOver(d) {
+			repeat := g.Effect == Repeatable || g.Effect == Referenced && r.now+1 < d.sent+g.Window
+			repeat = repeat && len(d.batch.dispatches) < r.most && !d.batch.Over
+			if r.mayCancel && !d.cancel && repeat && r.startOver(d) {
 				d.cancel = true
 				r.next = append(r.next, Decision{Kind: Cancel, Batch: d.batch, Number: d.number})
 			}
 		}
-		if late >= 3 || late > 0 && late == len(e.outs) && r.now-e.signAt > 1 {
+		if r.now >= e.asideUntil && (late >= 3 || late > 0 && late == len(e.outs) && r.now-e.signAt > 1) {
 			r.aside(e, &e.health, "silent")
 		}
 		if e.Phase == Ready {
@@ -491,12 +486,13 @@
 	}
 }
 
-// startOver: a fresh dispatch would be far quicker (a bad plan, an engine that crawls), or the engine is set
-// aside. It may hurt when all engines slow down at once, until the learned stretch has grown.
+// startOver: a fresh dispatch would be far quicker (a bad plan, an engine that crawls), its notes have ceased
+// (an answer got lost), or the engine is set aside. It may hurt when all engines slow down at once.
 func (r *Router) startOver(d *dispatch) bool {
 	usual := d.batch.alone * d.batch.Group.stretch.quantile(0.75, 4)
 	rest := (d.shareAt-d.sent)*(1-d.share)/d.share - (r.now - d.shareAt)
-	return r.now+usual < d.batch.limitAt && (d.share > 0 && rest > restartGain*usual ||
+	lost := r.notesEvery > 0 && r.now-max(d.sent, d.noteAt)-(r.still-d.still) > notesMissed*r.notesEvery
+	return r.now+usual < d.batch.limitAt && (lost || d.share > 0 && rest > restartGain*usual ||
 		d.engine.asideUntil > r.now && d.engine.signAt < d.sent)
 }
 
@@ -613,8 +609,7 @@
 // coldRoom: our share of what may be sent to a cold engine in any fall time. A few routers have it all,
 // picked alike everywhere by engine, start and own number. After our own start one is taken as spent.
 func (r *Router) coldRoom(e *Engine, work float64) bool {
-	first := int(mix(uint64(e.ID), math.Float64bits(e.StartedAt)) * r.routers)
-	n := int(r.routers)
+	n, first := int(r.routers), int(mix(uint64(e.ID), math.Float64bits(e.StartedAt))*r.routers)
 	if r.now < r.started+r.fallTime || r.index < 0 || r.index >= n || (r.index-first+n)%n >= coldRouters {
 		return false
 	}
@@ -698,7 +693,11 @@
 	}
 	wait := b.limitAt - r.now
 	if g := b.Group; g.Effect == Repeatable && len(b.dispatches) < r.most {
-		if own := overdue*b.alone*g.stretch.quantile(0.98, 16) + 0.2; r.now+own+2*b.alone < b.limitAt {
+		own := overdue*b.alone*g.stretch.quantile(0.98, 16) + 0.2
+		if early := b.endAt - r.now - r.needs(b) - sweepEvery; early > b.alone*g.stretch.quantile(0.9, 8) {
+			own = min(own, early) // else a lost answer leaves no time for another try
+		}
+		if r.now+own+2*b.alone < b.limitAt {
 			wait = own
 		}
 	}
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -321,6 +321,43 @@
 	assert.Equal(t, before, h.like)
 }
 
+// Its answer got lost: without this, a batch whose key others wait for holds them all until its time limit.
+func TestADispatchWhoseNotesHaveCeasedIsStartedOver(t *testing.T) {
+	s := settings(&ServiceGroup{Effect: Referenced, Scope: WithinAll, Window: 15, Goal: 2, Limit: 25, Threads: 1, LateShare: 0.5})
+	s.MayCancel, s.NotesEvery = true, 1
+	h, _ := newHost(t, s, 2)
+	b := h.take(func(b *Batch) { b.Cost = 2 })
+	for range 4 {
+		h.pass(1)
+		h.News(b, 0, Waits, 1)
+	}
+	assert.Empty(t, h.of(Cancel, b))
+	h.pass(3)
+	require.Len(t, h.of(Cancel, b), 1)
+	h.end(b, Withdrawn)
+	assert.Len(t, h.of(Dispatch, b), 2)
+	late := h.take(func(b *Batch) { b.Cost = 2 })
+	late.dispatches[0].sent -= 15
+	h.pass(3)
+	assert.Empty(t, h.of(Cancel, late), "its repeats are not remembered any more")
+}
+
+func TestATimeOutLeavesTimeForAnotherTryWithinTheGoal(t *testing.T) {
+	h, _ := newHost(t, settings(lookups()), 2)
+	for range 40 {
+		b := h.take(nil)
+		h.pass(0.1)
+		h.end(b, Returned)
+	}
+	b := h.take(nil)
+	wait := h.of(Dispatch, b)[0].Wait
+	h.pass(wait)
+	h.end(b, TimedOut)
+	h.pass(0.1)
+	assert.Len(t, h.of(Dispatch, b), 2)
+	assert.Greater(t, wait, 0.2)
+}
+
 func TestSilentEngineIsSetAside(t *testing.T) {
 	h, list := newHost(t, settings(lookups()), 1)
 	for range 4 {
--- a/brain/types.go
+++ b/brain/types.go
@@ -235,6 +235,7 @@
 	number        int
 	takes         amount
 	sent, shareAt float64
+	noteAt        float64 // of the last news
 	share         float64 // share done, as last told
 	still         float64 // how long this router had stood still before
 	ended, cancel bool
@@ -277,6 +278,7 @@
 	largest                float64 // memory of any engine; 0: not told
 	coldWork, fallTime     float64 // own work a core that a cold engine may get in each fall time
 	settle, tick           float64
+	notesEvery             float64
 	freeFurther, further   float64
 	furtherWindow          float64
 
