Bounds are shares of the limit also at 32 MB; a second copy ends no other dispatch; lists lack no record

Each has its story; the fake host now checks after each turn that what is believed out at an engine is what is open on its connections.

--- a/internal/buffers/buffers.go
+++ b/internal/buffers/buffers.go
@@ -8,6 +8,8 @@
 
 // Pool hands out buffers and takes them back. It belongs to one event loop.
 type Pool struct {
+	Keep int // buffers that wait to be used again, at most
+
 	free [][]byte
 	used int
 }
@@ -27,7 +29,7 @@
 
 func (p *Pool) put(b []byte) {
 	p.used--
-	if len(p.free) < 1024 { // what a burst needed beyond that goes back to the collector
+	if len(p.free) < p.Keep { // what a burst needed beyond that goes back to the collector
 		p.free = append(p.free, b[:0])
 	}
 }
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -49,8 +49,10 @@
 		_, _, err := Parse([]byte(whole[:n]))
 		assert.Error(t, err, "cut at %d", n)
 	}
+	_, _, err := Parse([]byte(strings.Replace(whole, "started=", "startad=", 1)))
+	assert.Error(t, err, "a cold engine would pass for a warm one")
 	loop := whole[:12] + "\xc0\x0c" + whole[14:]
-	_, _, err := Parse([]byte(loop))
+	_, _, err = Parse([]byte(loop))
 	assert.Error(t, err, "a name that points at itself")
 	_, _, err = Parse([]byte(whole[:2] + "\x86" + whole[3:]))
 	assert.Error(t, err, "cut short by the server: a whole list would lack engines")
--- a/internal/directory/dns.go
+++ b/internal/directory/dns.go
@@ -216,11 +216,15 @@
 		e := Engine{ID: labels[0], Zone: labels[1], Kind: texts[target]["kind"],
 			Draining: binary.BigEndian.Uint16(fixed) != 0,
 			Weight:   float64(binary.BigEndian.Uint16(fixed[2:])) / weightTimes}
-		if a := addresses[target]; a != "" {
-			e.Address = a + ":" + strconv.Itoa(int(binary.BigEndian.Uint16(fixed[4:])))
+		if addresses[target] == "" || texts[target] == nil {
+			// Without them a late start would pass for none, and a cold engine for a warm one.
+			return list, fmt.Errorf("target %q lacks its records", target)
+		}
+		e.Address = addresses[target] + ":" + strconv.Itoa(int(binary.BigEndian.Uint16(fixed[4:])))
+		started, err := strconv.ParseFloat(texts[target]["started"], 64)
+		if e.Cell, _ = strconv.Atoi(texts[target]["cell"]); err != nil {
+			return list, fmt.Errorf("target %q: %w", target, err)
 		}
-		e.Cell, _ = strconv.Atoi(texts[target]["cell"])
-		started, _ := strconv.ParseFloat(texts[target]["started"], 64)
 		e.StartedAt = started / 1000
 		list.Engines = append(list.Engines, e)
 	}
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -2,6 +2,7 @@
 package loop
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -26,8 +27,11 @@
 
 const (
 	peerUnread  = 2 << 20 // bytes that a peer may leave unread: more than all answers of one connection
-	unreadShare = 0.2     // of the memory limit, for what peers leave unread
-	wholeShare  = 0.4     // and for all that is held, beyond which nothing that is not whole is kept
+	peerShare   = 0.05    // or this of the memory limit
+	unreadShare = 0.15    // what all peers leave unread
+	wholeShare  = 0.35    // all that is held, beyond which nothing that is not whole is kept
+	freeShare   = 0.05    // buffers that wait to be used again
+	someMemory  = 64      // MB, where no limit is told
 	flushTime   = 300 * time.Millisecond
 	noTick      = time.Hour
 	namesAgain  = 50 * time.Millisecond
@@ -74,6 +78,7 @@
 	waiting          map[*peer]struct{} // with bytes that wait to be written
 	unread           int
 	mostUnread       int // of all peers, in bytes
+	peerUnread       int // of one
 	mostHeld         int // in bytes
 
 	queue   []router.Event
@@ -109,7 +114,7 @@
 }
 
 func share(of float64, c config.Config) int {
-	return int(of * float64(max(c.MemoryMB, 64)) * (1 << 20))
+	return int(of * float64(cmp.Or(c.MemoryMB, someMemory)) * (1 << 20))
 }
 
 // clock gives the Unix clock in seconds.
@@ -442,6 +447,8 @@
 
 func (l *Loop) bound() {
 	l.mostUnread, l.mostHeld = share(unreadShare, l.config), share(wholeShare, l.config)
+	l.peerUnread = min(peerUnread, share(peerShare, l.config))
+	l.pool.Keep = share(freeShare, l.config) / buffers.Size
 }
 
 // flushed ends the loop once all is written, or nobody reads it.
@@ -473,7 +480,7 @@
 	if p == nil {
 		return
 	}
-	if p.conn.OutboundBuffered()+data.Len() > peerUnread {
+	if p.conn.OutboundBuffered()+data.Len() > l.peerUnread {
 		l.broken(p, router.Unread)
 		return
 	}
--- a/internal/router/batches.go
+++ b/internal/router/batches.go
@@ -93,7 +93,7 @@
 	held, memory := r.settings.Settings.MostHeld, textShare*float64(r.settings.MemoryMB)*(1<<20)
 	if held > 0 && len(r.batches) >= held || memory > 0 && float64(r.pool.Used()*buffers.Size) > memory {
 		// Beyond what the platform lets a router hold. Nothing of it has run, so a pushback is true.
-		r.reply(b, refused, 0, nil)
+		r.reply(b, refused, r.settings.Settings.LongestDefer, nil)
 		f.Body.Release()
 		return
 	}
--- a/internal/router/clients.go
+++ b/internal/router/clients.go
@@ -47,17 +47,19 @@
 		r.looking = true
 		r.timers.add(r.now+lookEvery, clientCheck{})
 	}
-	if r.mostClients <= 0 || len(r.clients) <= r.mostClients {
-		return
+	if r.mostClients > 0 && len(r.clients) > r.mostClients {
+		if worst := r.leastUsed(); r.use(worst) != inUse {
+			c = worst
+		}
+		r.crowd.crowded++
+		r.closeClient(c, Crowded)
 	}
-	r.crowd.crowded++
-	worst := slices.MinFunc(r.byNumber(), func(a, b *client) int {
+}
+
+func (r *Router) leastUsed() *client {
+	return slices.MinFunc(r.byNumber(), func(a, b *client) int {
 		return cmp.Or(cmp.Compare(r.use(a), r.use(b)), cmp.Compare(a.since, b.since), cmp.Compare(a.number, b.number))
 	})
-	if r.use(worst) == inUse {
-		worst = c
-	}
-	r.closeClient(worst, Crowded)
 }
 
 const (
@@ -110,6 +112,14 @@
 			r.closeClient(c, ClosedIdle)
 		}
 	}
+	for r.mostClients > 0 && len(r.clients) > r.mostClients { // a reload has set the bound lower
+		worst := r.leastUsed()
+		if r.use(worst) == inUse {
+			break
+		}
+		r.crowd.crowded++
+		r.closeClient(worst, Crowded)
+	}
 	if w := &r.crowd; w.silent+w.idle+w.crowded > 0 && r.now > w.toldAt+tellEvery {
 		r.log(Info, "clients ended for room", "silent", w.silent, "idle", w.idle, "crowded", w.crowded,
 			"clients", len(r.clients))
--- a/internal/router/dispatches.go
+++ b/internal/router/dispatches.go
@@ -167,7 +167,8 @@
 		body.Release()
 		rep, l := d.report, d.line
 		r.ended(d, how, rep)
-		l.Close(d.batch.id, false, r.now)
+		// A second copy may follow: it must not end another dispatch of the batch, were that on this connection.
+		l.Close(d.batch.id, how != brain.Returned && d.batch.client != nil, r.now)
 		r.rest(l)
 	}
 	switch reply.Word {
--- a/internal/router/host_test.go
+++ b/internal/router/host_test.go
@@ -76,6 +76,28 @@
 			}
 		}
 	}
+	h.agrees()
+}
+
+// agrees: what is believed to be out at an engine is what is open on its connections, and no more than that.
+func (h *host) agrees() {
+	open := map[*engine]int{}
+	for _, l := range h.connections {
+		for _, what := range l.Opens() {
+			if d, is := what.(*dispatch); is {
+				open[l.engine]++
+				assert.False(h.t, d.ended)
+			}
+		}
+	}
+	for _, e := range h.engines {
+		assert.Equal(h.t, open[e], e.out, e.name)
+	}
+	waiting := 0
+	for _, c := range h.clients {
+		waiting += len(c.open)
+	}
+	assert.Len(h.t, h.open, waiting)
 }
 
 func (h *host) read(text string) {
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -113,12 +113,28 @@
 	stream, id := h.batch("upload", 5000)
 	c := h.up()
 	h.say(c, id, engines.Full, "-", "")
-	h.pass(0.3)
+	h.pass(0.1)
+	c = h.up()
 	require.Equal(t, 2, h.fetches(id), "a full engine has not run it")
 	h.say(c, id, engines.Broke, "-", "")
 	assert.Equal(t, failure, h.answers[stream], "an error may have run")
 }
 
+// The copy of a refusal must not prove of another dispatch that it never ran.
+func TestASecondCopyEndsNothingElse(t *testing.T) {
+	h := start(t, east("s-1"))
+	stream, id := h.batch("upload", 5000)
+	first := h.up()
+	h.say(first, id, engines.Full, "-", "")
+	h.pass(0.1)
+	require.Len(t, h.dials, 2, "the id stands once on a connection")
+	second := h.up()
+	h.say(first, id, engines.Full, "-", "")
+	h.tell(EngineEnded{second, ResetByPeer})
+	assert.Equal(t, failure, h.answers[stream], "it may have run")
+	assert.Equal(t, 2, h.fetches(id))
+}
+
 func TestAClientThatLeavesGetsNoAnswer(t *testing.T) {
 	h := start(t, east("s-1"))
 	stream, id := h.batch("lookup", 2000)
@@ -324,6 +340,14 @@
 	assert.Contains(t, h.clients, uint64(1))
 	h.pass(2)
 	assert.Empty(t, h.clients, "kept for good after its last answer")
+	for n := range uint64(4) {
+		h.tell(ClientOpened{n + 10})
+	}
+	next := h.settings
+	next.Descriptors = 4
+	h.tell(Reloaded{next})
+	h.pass(0.5)
+	assert.Len(t, h.clients, 2, "the bound was set lower")
 }
 
 func TestConnectionsCarrySoManyAndCloseBeforeTheEngineDoes(t *testing.T) {
@@ -402,12 +426,14 @@
 	h.settings.MemoryMB = 1
 	refused, n := 0, 0
 	for ; n < 100; n++ {
-		h.tell(ClientOpened{uint64(n/mostOpen) + 2})
+		if n%mostOpen == 0 {
+			h.tell(ClientOpened{uint64(n/mostOpen) + 2})
+		}
 		stream := uint32(n + 1)
 		h.ask(uint64(n/mostOpen)+2, stream, fmt.Sprintf("%016x", n+1))
 		if h.answers[stream] != "" {
 			refused++
-			assert.Equal(t, refusal, h.answers[stream][:1])
+			assert.Equal(t, refusal+"\x01\x01w\x03\x00500", h.answers[stream], "it says when to come back")
 		}
 	}
 	assert.Positive(t, refused)
