--- a/brain/brain.go
+++ b/brain/brain.go
@@ -492,8 +492,9 @@
 	usual := d.batch.alone * d.batch.Group.stretch.quantile(0.75, 4)
 	rest := (d.shareAt-d.sent)*(1-d.share)/d.share - (r.now - d.shareAt)
 	lost := r.notesEvery > 0 && r.now-max(d.sent, d.noteAt)-(r.still-d.still) > notesMissed*r.notesEvery
-	return r.now+usual < d.batch.limitAt && (lost || d.share > 0 && rest > restartGain*usual ||
-		d.engine.asideUntil > r.now && d.engine.signAt < d.sent)
+	slow := d.share > 0 && rest > restartGain*usual && d.batch.Group.Effect == Repeatable
+	silent := d.engine.asideUntil > r.now && d.engine.signAt < d.sent
+	return r.now+usual < d.batch.limitAt && (lost || slow || silent)
 }
 
 // release is the design's ordinary path: which batch leaves next, where to, and whether the gate lets it.
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -331,7 +331,9 @@
 		h.pass(1)
 		h.News(b, 0, Waits, 1)
 	}
-	assert.Empty(t, h.of(Cancel, b))
+	h.News(b, 0, Progress, 0.01)
+	h.pass(0.2)
+	assert.Empty(t, h.of(Cancel, b), "slow, but there: what it has done would be lost, and its key waits")
 	h.pass(3)
 	require.Len(t, h.of(Cancel, b), 1)
 	h.end(b, Withdrawn)
