--- a/brain/brain.go
+++ b/brain/brain.go
@@ -43,7 +43,7 @@
 	sweepEvery, standstill        = 0.05, 0.2     // woken so much too late, a router has stood still
 	// Clients leave on the dot: so much is for the ways and standstills. It hurts answers of the last moment.
 	wayShare, leastWay, mostWay = 0.05, 0.04, 0.25
-	slopePrior                  = 8.0      // pairs of told and true work that speak for exact estimates at first
+	slopePrior, unsure          = 8.0, 2.0 // pairs that speak for exact estimates at first; deviations held safe
 	trustLoad, mostTries        = 1.0, 16  // estimates more that full load takes; batches no engine fits, a pull
 	overdue, restartGain        = 2.0, 2.0 // times the usual longest time; a fresh start must be so much quicker
 )
@@ -169,13 +169,11 @@
 // Reduce brings the level of reduced service that holds from now on. What has been taken stays.
 func (r *Router) Reduce(level Reduced) { r.level = level }
 
-// shed: the level does not take it.
 func (r *Router) shed(b *Batch) bool {
 	keep, some := r.level.Keep[b.Group]
 	return r.level.LeastGain*b.demand > b.Group.Utility || some && r.draw() >= keep
 }
 
-// tries are the dispatches that a batch may have, by the settings, the level and its route.
 func (r *Router) tries(b *Batch) int {
 	most := b.Route.Most(r.most)
 	if r.level.Further != 0 {
@@ -298,9 +296,9 @@
 
 // likely is the work that a batch most likely needs, for the books of cold engines; the page's demand orders
 // batches. Where estimates are rough, what looks small enough for a share is mostly told too small: it took
-// 1.6 times what was booked. Large ones are mostly told too large, but where few share a budget one fills its
-// share, and two such pushed an engine over: what demand says more counts, by the root of how many sharers
-// even it out. It hurts where large ones are told far too large.
+// 1.6 times what was booked, and large ones take less. Below coldRouters nothing evens that out, and two
+// large ones pushed an engine over: there none counts for less than its demand, nor, while few answers speak
+// for less, than was told. It hurts where large ones are told far too large.
 func (r *Router) likely(b *Batch) float64 {
 	g := b.Group
 	if b.Cost <= 0 || b.Cost >= 1e5 {
@@ -310,7 +308,10 @@
 		return max(b.demand, g.Goal*g.Threads/4)
 	}
 	likely := math.Exp(r.slope()*(math.Log(b.Cost)-g.logTold)) * g.trueSum / g.flatSum
-	return likely + max(b.demand-likely, 0)/math.Sqrt(min(r.routers, coldRouters))
+	if r.routers < coldRouters {
+		return max(likely, min(b.demand*(1+unsure/math.Sqrt(g.seen+1)), max(b.Cost, b.demand)))
+	}
+	return likely + max(b.demand-likely, 0)/math.Sqrt(coldRouters)
 }
 
 // slope is by how much the logarithm of true work grows with that of told work: one for exact estimates.
--- a/internal/emulator/checker.go
+++ b/internal/emulator/checker.go
@@ -227,8 +227,9 @@
 	c.doubt[l] = d
 }
 
-func (c *checker) fell(e *engine) {
-	c.breaks(4, "%s falls over %.3f s after its start", e.name, c.sim.now-e.started)
+func (c *checker) fell(e *engine, sent, bears float64) {
+	c.breaks(4, "%s falls over %.3f s after its start: %.2f s of work came within %g s, and it bears %.2f, of %d pieces, the last %.2f", e.name,
+		c.sim.now-e.started, sent, c.sim.world.Rules.Fall, bears, len(e.lately), e.lately[len(e.lately)-1].work)
 }
 
 // finish looks for what was never answered.
--- a/internal/emulator/engine.go
+++ b/internal/emulator/engine.go
@@ -163,8 +163,10 @@
 		for _, l := range e.lately {
 			sum += l.work
 		}
-		if sum > s.world.Rules.FallMultiple*e.pace()*s.world.Engine.Cores*s.world.Rules.Fall {
-			s.check.fell(e)
+		bears := s.world.Rules.FallMultiple * e.pace() * s.world.Engine.Cores * s.world.Rules.Fall
+		s.result.Cold = max(s.result.Cold, sum/bears)
+		if sum > bears {
+			s.check.fell(e, sum, bears)
 			e.die(s.world.Engine.Restart)
 			return
 		}
