Membership: a pure state machine, its protobuf datagrams, and crowds of it in simulated time

Change: internal/membership (probes in turn and by others, suspicion that accusers shorten, refuting, comparing by buckets, four states of certainty, one's own lateness), internal/talk (one protobuf packet a datagram, checked whole), internal/crowd (hundreds of the very machines by a seed). Not wired into the program yet: run is as it was.

--- /dev/null
+++ b/internal/talk/talk_test.go
@@ -0,0 +1,141 @@
+package talk
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/encoding/protowire"
+	"google.golang.org/protobuf/proto"
+
+	"pitchfield/internal/membership"
+)
+
+func someone(name string) membership.Member {
+	return membership.Member{ID: membership.ID{Name: name, Start: 17}, Address: "127.0.0.1:7500", Incarnation: 3, State: membership.Alive}
+}
+
+func whole() *membership.Message {
+	m := &membership.Message{Kind: membership.Ask, From: someone("n1"), View: 0xfedcba9876543210, Count: 12, Number: 99, Target: someone("n2")}
+	for i := range 30 {
+		r := someone(fmt.Sprint("n", i))
+		r.State, r.By = membership.Suspect, "n1"
+		m.Rumours = append(m.Rumours, r)
+	}
+	return m
+}
+
+func TestAMessageComesBackAsItWas(t *testing.T) {
+	data, err := Encode("fleet", whole())
+	require.NoError(t, err)
+	got, err := Decode("fleet", data)
+	require.NoError(t, err)
+	assert.Equal(t, whole(), got)
+	compare := &membership.Message{Kind: membership.Compare, From: someone("n1"), Hashes: make([]uint32, membership.Buckets), Answer: true}
+	if data, err = Encode("fleet", compare); assert.NoError(t, err) {
+		got, err = Decode("fleet", data)
+		require.NoError(t, err)
+		assert.Equal(t, compare, got)
+	}
+	long := whole()
+	long.Rumours = append(long.Rumours, long.Rumours...)
+	_, err = Encode("fleet", long)
+	assert.ErrorIs(t, err, ErrTooLong)
+}
+
+func TestWhatANewerVersionAddsIsPassedOver(t *testing.T) {
+	data, err := Encode("fleet", whole())
+	require.NoError(t, err)
+	data = protowire.AppendBytes(protowire.AppendTag(data, 900, protowire.BytesType), []byte("news"))
+	got, err := Decode("fleet", data)
+	require.NoError(t, err)
+	assert.Equal(t, whole(), got)
+	var p Packet
+	require.NoError(t, proto.Unmarshal(data, &p))
+	p.Kind, p.Version = 77, 2
+	if data, err = proto.Marshal(&p); assert.NoError(t, err) {
+		got, err = Decode("fleet", data)
+		require.NoError(t, err)
+		assert.Equal(t, membership.Tell, got.Kind, "a kind that is not known still brings its rumours")
+		assert.Len(t, got.Rumours, 30)
+	}
+}
+
+func TestWhatIsNotOfThisFormIsDroppedWhole(t *testing.T) {
+	for name, spoil := range map[string]func(p *Packet){
+		"no sender":              func(p *Packet) { p.From = nil },
+		"no name":                func(p *Packet) { p.From.Name = "" },
+		"a name with a line":     func(p *Packet) { p.From.Name = "n1\nn2" },
+		"a long name":            func(p *Packet) { p.Rumours[7].Name = strings.Repeat("n", 65) },
+		"no start":               func(p *Packet) { p.Rumours[2].Start = 0 },
+		"a host's name":          func(p *Packet) { p.From.Address = "localhost:80" },
+		"no port":                func(p *Packet) { p.Target.Address = "127.0.0.1:0" },
+		"a state of no kind":     func(p *Packet) { p.Rumours[0].State = 4 },
+		"a sender that is dead":  func(p *Packet) { p.From.State = State_DEAD },
+		"an ask about nobody":    func(p *Packet) { p.Target = nil },
+		"hashes where none are":  func(p *Packet) { p.Rumours, p.Hashes = nil, make([]uint32, membership.Buckets) },
+		"a compare without":      func(p *Packet) { p.Kind = Kind_COMPARE },
+		"some hashes":            func(p *Packet) { p.Kind, p.Hashes = Kind_COMPARE, make([]uint32, 3) },
+		"no version":             func(p *Packet) { p.Version = 0 },
+		"an accuser that is not": func(p *Packet) { p.Rumours[1].By = "\x00" },
+	} {
+		data, err := Encode("fleet", whole())
+		require.NoError(t, err)
+		var p Packet
+		require.NoError(t, proto.Unmarshal(data, &p))
+		spoil(&p)
+		data, err = proto.Marshal(&p)
+		require.NoError(t, err)
+		_, err = Decode("fleet", data)
+		assert.ErrorIs(t, err, ErrForm, name)
+	}
+	data, err := Encode("fleet", whole())
+	require.NoError(t, err)
+	_, err = Decode("another", data)
+	assert.ErrorIs(t, err, ErrFleet)
+	_, err = Decode("fleet", bytes.Repeat(data, 40))
+	assert.ErrorIs(t, err, ErrTooLong)
+	for n := range data {
+		if got, err := Decode("fleet", data[:n]); err == nil {
+			assert.NotEmpty(t, got.From.Name, "cut at %d", n)
+		}
+	}
+}
+
+// Whatever passes can be said again, and is the same then; the machine takes it in without harm.
+func FuzzDecode(f *testing.F) {
+	data, _ := Encode("fleet", whole())
+	f.Add(data)
+	data, _ = Encode("fleet", &membership.Message{Kind: membership.Compare, From: someone("n3"), Hashes: make([]uint32, membership.Buckets)})
+	f.Add(data)
+	data, _ = Encode("fleet", &membership.Message{Kind: membership.Ping, From: someone("me"), Number: 4})
+	f.Add(data)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		m, err := Decode("fleet", data)
+		if err != nil {
+			return
+		}
+		again, err := Encode("fleet", m)
+		require.NoError(t, err)
+		got, err := Decode("fleet", again)
+		require.NoError(t, err)
+		require.Equal(t, m, got)
+		s := membership.Defaults()
+		s.Self, s.Listen = membership.ID{Name: "me", Start: 5}, "127.0.0.1:7400"
+		machine := membership.New(s, 1, 100)
+		for i := range 3 {
+			machine.Heard(100+float64(i), m)
+			for _, out := range machine.Sends() {
+				_, err := Encode("fleet", &out.Message)
+				require.NoError(t, err)
+			}
+			machine.Wake(machine.At())
+		}
+		v := machine.View()
+		require.Len(t, v.Members, machine.Count())
+		require.GreaterOrEqual(t, v.Index, 0)
+	})
+}
