--- a/internal/rig/world.go
+++ b/internal/rig/world.go
@@ -142,7 +142,7 @@
 	if descriptors == 0 {
 		descriptors = 1024
 	}
-	text, err := Configuration(Groups, w.Frames, "8c1f30d27a5be964", memory, descriptors, w.Names)
+	text, err := Configuration(Groups, "n1", w.Frames, "8c1f30d27a5be964", memory, descriptors, w.Names.LocalAddr().String())
 	if err != nil {
 		return t, fmt.Errorf("configuration: %w", err)
 	}
@@ -191,11 +191,11 @@
 }
 
 // Configuration is what the platform would tell a router of such a world, as JSON. Settings are the platform's; memory
-// is in MB.
-func Configuration(settings, listen, seed string, memory, descriptors int, names *standin.Names) ([]byte, error) {
-	return json.Marshal(map[string]any{"name": "n1", "listen": listen, "seed": seed,
+// is in MB; names is the name service's address.
+func Configuration(settings, name, listen, seed string, memory, descriptors int, names string) ([]byte, error) {
+	return json.Marshal(map[string]any{"name": name, "listen": listen, "seed": seed,
 		"limits":   map[string]any{"cores": 1, "memory_mb": memory, "sockets": descriptors},
-		"resolver": names.LocalAddr().String(), "known": map[string]any{"pos": 0, "entries": []any{}},
+		"resolver": names, "known": map[string]any{"pos": 0, "entries": []any{}},
 		"settings": json.RawMessage(settings)})
 }
 
--- a/internal/standin/act.go
+++ b/internal/standin/act.go
@@ -78,9 +78,29 @@
 	// GivesUp: what runs for a connection ends with it, as the protocol's page says of real engines.
 	GivesUp bool
 
-	mutex sync.Mutex
-	runs  []*Run
-	seen  map[string]int
+	mutex  sync.Mutex
+	runs   []*Run
+	seen   map[string]int
+	probes []Probe
+}
+
+// Probe is one question for an engine's load.
+type Probe struct {
+	Engine string
+	At     time.Time
+}
+
+func (l *Ledger) probed(engine string) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.probes = append(l.probes, Probe{engine, time.Now()})
+}
+
+// Probes gives all so far, in order.
+func (l *Ledger) Probes() []Probe {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return slices.Clone(l.probes)
 }
 
 var inComment = regexp.MustCompile(`\b(id|key|group|mark)=([^ ,*]+)`)
--- a/internal/standin/resp.go
+++ b/internal/standin/resp.go
@@ -98,6 +98,9 @@
 				run.giveUp()
 			}
 		case "alive", "stats":
+			if r[0] == "stats" {
+				s.ledger.probed(s.Name)
+			}
 			c.say(r[1], "FIT", "use=queue:0;x0:0.1;x1:0.1", "")
 		}
 	}
--- /dev/null
+++ b/internal/torture/budgets.go
@@ -0,0 +1,263 @@
+package torture
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"sort"
+	"time"
+
+	"pitchfield/internal/standin"
+)
+
+// Budget is something of which all routers together may use only so much within a window. The checker sums what came to
+// the stand-ins; a further budget is a further line of budgetList.
+type Budget struct {
+	Name   string
+	Unit   string
+	Rule   int
+	Window time.Duration
+	Slack  float64 // times the whole that counts as kept: what comes together may have been sent further apart
+	// Of tells what a run takes, and of which budget of this kind; 0: nothing.
+	Of func(c *runsCheck, r standin.Run) (of string, amount float64)
+	// All are those of this kind that there were.
+	All func(c *runsCheck) []string
+	// Whole is what may be used within the window that ends at a time. Below 0: it does not count then.
+	Whole func(c *runsCheck, of string, at time.Duration) float64
+}
+
+// budgetList has all that the fleet shares. What is here is also measured: Use.
+var budgetList = []Budget{
+	{Name: "cold work", Unit: "s of work", Rule: 4, Window: fallTime, Slack: 1.25,
+		Of: func(c *runsCheck, r standin.Run) (string, float64) {
+			if c.bears(r.Engine, c.at(r)) < 0 || c.late(r) {
+				return "", 0
+			}
+			return r.Engine, r.Act.After.Seconds()
+		},
+		All: func(c *runsCheck) (out []string) {
+			for name, e := range c.Engines {
+				if !e.Started.IsZero() {
+					out = append(out, name)
+				}
+			}
+			slices.Sort(out)
+			return out
+		},
+		Whole: (*runsCheck).bears},
+	{Name: "further dispatches", Unit: "dispatches", Rule: 7, Window: lookBack, Slack: 1,
+		Of: func(c *runsCheck, r standin.Run) (string, float64) {
+			if len(c.Routers) > 1 && c.further(r) && !c.late(r) {
+				return "the fleet", 1
+			}
+			return "", 0
+		},
+		All: func(*runsCheck) []string { return []string{"the fleet"} },
+		Whole: func(c *runsCheck, _ string, at time.Duration) float64 {
+			sum := 0.0
+			for i := range c.Routers {
+				sum += c.mayFurther(i, at)
+			}
+			return sum
+		}},
+	{Name: "further dispatches", Unit: "dispatches", Rule: 7, Window: lookBack, Slack: 1,
+		Of: func(c *runsCheck, r standin.Run) (string, float64) {
+			if c.further(r) && !c.late(r) {
+				return c.start(c.router(r), c.life(c.router(r), c.at(r))), 1
+			}
+			return "", 0
+		},
+		All: func(*runsCheck) []string { return nil },
+		Whole: func(c *runsCheck, of string, at time.Duration) float64 {
+			return c.mayFurther(c.starts[of], at)
+		}},
+}
+
+// start names a start of a router, and remembers whose it is.
+func (c *runsCheck) start(router, life int) string {
+	name := fmt.Sprintf("%s, start %d", c.Routers[router].Name, life)
+	c.starts[name] = router
+	return name
+}
+
+// bears is the work that a cold engine bears within a fall time; below 0: it is not cold. What its pace is between its start
+// and warmth is not disclosed; a straight line is what this fleet does.
+func (c *runsCheck) bears(engine string, at time.Duration) float64 {
+	e := c.Engines[engine]
+	age := at - e.Started.Sub(c.Began)
+	if e.Started.IsZero() || age < 0 || age > coldTime {
+		return -1
+	}
+	pace := coldFrom + (1-coldFrom)*age.Seconds()/coldTime.Seconds()
+	return fallMultiple * pace * cores * fallTime.Seconds()
+}
+
+// further: it is not its batch's first dispatch.
+func (c *runsCheck) further(r standin.Run) bool {
+	if c.firsts == nil {
+		c.firsts = map[string]time.Time{}
+		for _, one := range c.runs {
+			if _, seen := c.firsts[one.ID]; !seen {
+				c.firsts[one.ID] = one.Began
+			}
+		}
+	}
+	return c.firsts[r.ID].Before(r.Began)
+}
+
+// mayFurther is what a router may send again within the look-back. It counts at its own times, so batches of a standstill
+// before count here too.
+func (c *runsCheck) mayFurther(router int, at time.Duration) float64 {
+	if c.taken == nil {
+		c.taken = make([][]time.Duration, len(c.Routers))
+		for _, b := range c.Batches {
+			c.taken[b.Router] = append(c.taken[b.Router], b.Wrote)
+		}
+		for _, t := range c.taken {
+			slices.Sort(t)
+		}
+	}
+	t := c.taken[router]
+	n := sort.Search(len(t), func(i int) bool { return t[i] > at })
+	return freeFurther + 1 + furtherShare*float64(n-sort.Search(n, func(i int) bool { return t[i] > at-lookBack-2*standstill }))
+}
+
+// budgets holds what was done to each line of the list.
+func (c *runsCheck) budgets() {
+	for _, b := range budgetList {
+		told := map[string]bool{}
+		c.walk(b, func(r standin.Run, of string, used, whole float64) {
+			if used > b.Slack*whole && !told[of] {
+				told[of] = true
+				c.found(b.Rule, r, "%s of %s: %.1f %s within %s, and %.1f is the whole", b.Name, of, used, b.Unit, b.Window, whole)
+			}
+		})
+	}
+}
+
+// walk sums each budget of a kind over its window, run by run.
+func (c *runsCheck) walk(b Budget, do func(r standin.Run, of string, used, whole float64)) {
+	type part struct {
+		at     time.Duration
+		amount float64
+	}
+	parts, sums := map[string][]part{}, map[string]float64{}
+	for _, r := range c.runs {
+		of, amount := b.Of(c, r)
+		if amount <= 0 {
+			continue
+		}
+		at := c.at(r)
+		parts[of], sums[of] = append(parts[of], part{at, amount}), sums[of]+amount
+		for parts[of][0].at < at-b.Window {
+			sums[of] -= parts[of][0].amount
+			parts[of] = parts[of][1:]
+		}
+		if whole := b.Whole(c, of, at); whole >= 0 {
+			do(r, of, sums[of], whole)
+		}
+	}
+}
+
+// Use is how much of a kind of budget was used.
+type Use struct {
+	Name       string
+	Mean, Most float64 // of the whole: over all windows that were looked at, and in the fullest
+	Alive      float64 // mean while all routers ran, and
+	Dead       float64 // while some did not
+	Windows    int
+}
+
+const lookEvery = 100 * time.Millisecond
+
+// Uses measures each line of the list: what of it was used in windows that end each tenth of a second.
+func (r *Result) Uses() (out []Use) {
+	c := newRunsCheck(r)
+	for _, b := range budgetList {
+		of := b.All(c)
+		u := Use{Name: b.Name}
+		type part struct {
+			at     time.Duration
+			amount float64
+		}
+		parts := map[string][]part{}
+		for _, run := range c.runs {
+			if of, amount := b.Of(c, run); amount > 0 {
+				parts[of] = append(parts[of], part{c.at(run), amount})
+			}
+		}
+		alive, dead := 0, 0
+		for at := b.Window; at <= r.Long; at += lookEvery {
+			for _, of := range of {
+				whole := b.Whole(c, of, at)
+				if whole < 0 {
+					continue
+				}
+				used := 0.0
+				for _, p := range parts[of] {
+					if p.at > at-b.Window && p.at <= at {
+						used += p.amount
+					}
+				}
+				share := used / whole
+				u.Windows, u.Mean, u.Most = u.Windows+1, u.Mean+share, max(u.Most, share)
+				if r.running(at) == len(r.Routers) {
+					alive, u.Alive = alive+1, u.Alive+share
+				} else {
+					dead, u.Dead = dead+1, u.Dead+share
+				}
+			}
+		}
+		u.Mean /= float64(max(u.Windows, 1))
+		u.Alive /= float64(max(alive, 1))
+		u.Dead /= float64(max(dead, 1))
+		out = append(out, u)
+	}
+	return out
+}
+
+// running counts the routers of which a process ran at a time.
+func (r *Result) running(at time.Duration) (n int) {
+	for _, one := range r.Routers {
+		if slices.ContainsFunc(one.Lives, func(l Life) bool { return l.Began <= at && (l.Ended == 0 || l.Ended > at) }) {
+			n++
+		}
+	}
+	return n
+}
+
+// Probing is what engines bore of probes.
+type Probing struct {
+	Longest time.Duration // that an engine which was there went unprobed
+	Mean    float64       // probes a second of an engine
+	Most    int           // of an engine within a second
+}
+
+// Probing measures them, of engines that were there for a while.
+func (r *Result) Probing() (out Probing) {
+	const settled = 2 * time.Second
+	by := map[string][]time.Duration{}
+	for _, p := range r.Probes {
+		by[p.Engine] = append(by[p.Engine], p.At.Sub(r.Began))
+	}
+	count, seconds := 0, 0.0
+	for _, times := range by {
+		slices.Sort(times)
+		first, last := times[0], times[len(times)-1]
+		if last-first < settled {
+			continue
+		}
+		count, seconds = count+len(times), seconds+(last-first).Seconds()
+		for i, at := range times {
+			if i > 0 && at < r.Long {
+				out.Longest = max(out.Longest, at-times[i-1])
+			}
+			n, _ := slices.BinarySearchFunc(times, at+time.Second, func(a, b time.Duration) int { return cmp.Compare(a, b) })
+			out.Most = max(out.Most, n-i)
+		}
+	}
+	if seconds > 0 {
+		out.Mean = float64(count) / seconds
+	}
+	return out
+}
--- a/internal/torture/checker.go
+++ b/internal/torture/checker.go
@@ -2,11 +2,8 @@
 
 import (
 	"fmt"
-	"slices"
 	"strings"
 	"time"
-
-	"pitchfield/internal/standin"
 )
 
 // Answer is one frame that came for a batch.
@@ -19,17 +16,23 @@
 // Batch is what a client knows of one of its own.
 type Batch struct {
 	ID, Group, Key string
-	Rows           int // that its result has
+	Rows           int    // that its result has
+	Origin         string // id of the batch that it asks for again; empty: none
 	Connection     int
-	Life           int           // of the router: its number of starts
+	Router         int           // that it came to, and
+	Life           int           // which of its starts
 	Wrote          time.Duration // when its last byte was written
 	Due            time.Duration // when the client stops waiting
 	Answers        []Answer
 	Left           time.Duration // when the client said that it waits no more; 0: never
 	Ended          time.Duration // when its connection ended while it was open; 0: it did not
 	End            string        // how, as the client saw it
+
+	sets int // number of its data set
 }
 
+const pushedBack = 11 // code of an answer
+
 // Life is one start of the router.
 type Life struct {
 	Began  time.Duration
@@ -48,6 +51,7 @@
 	What       string
 	Batch      string // its id, if it is one batch's
 	Connection int    // of the client that lost it; 0: none
+	At         time.Duration
 }
 
 func (f Finding) String() string { return fmt.Sprintf("rule %d: %s", f.Rule, f.What) }
@@ -62,24 +66,26 @@
 
 	wayWithin  = time.Second     // from a decision to its arrival on a busy machine
 	standstill = 2 * time.Second // that we put the router in, at the most
-	coldSlack  = 1.25            // what arrives together may have been sent further apart
 )
 
-// Check goes through what clients and engines have seen.
-func Check(batches []*Batch, lives []Life, runs []standin.Run, engines map[string]Engine, stills []Still, began time.Time) (out []Finding) {
-	found := func(rule int, b *Batch, format string, args ...any) {
-		f := Finding{Rule: rule, What: fmt.Sprintf(format, args...)}
+// Check goes through what clients and engines have seen of a play.
+func Check(seen *Result) (out []Finding) {
+	batches := seen.Batches
+	found := func(rule int, b *Batch, at time.Duration, format string, args ...any) {
+		f := Finding{Rule: rule, What: fmt.Sprintf(format, args...), At: at}
 		if b != nil {
 			f.Batch, f.Connection = b.ID, b.Connection
 		}
 		out = append(out, f)
 	}
-	for i, l := range lives {
-		if l.Term > 0 && l.Killed > l.Term {
-			found(0, nil, "start %d of the router had to be killed %.3f s after SIGTERM", i, (l.Killed - l.Term).Seconds())
-		}
-		if l.Ended > 0 && l.Killed == 0 && (l.Term == 0 || l.Exit != "exit status 0") {
-			found(0, nil, "start %d of the router ended at %.3f s: %s", i, l.Ended.Seconds(), l.Exit)
+	for _, r := range seen.Routers {
+		for i, l := range r.Lives {
+			if l.Term > 0 && l.Killed > l.Term {
+				found(0, nil, l.Term, "start %d of %s had to be killed %.3f s after SIGTERM", i, r.Name, (l.Killed - l.Term).Seconds())
+			}
+			if l.Ended > 0 && l.Killed == 0 && (l.Term == 0 || l.Exit != "exit status 0") {
+				found(0, nil, l.Ended, "start %d of %s ended at %.3f s: %s", i, r.Name, l.Ended.Seconds(), l.Exit)
+			}
 		}
 	}
 	quiet := map[int]bool{} // connections that ended with nothing open but what had just been written
@@ -90,27 +96,25 @@
 		}
 	}
 	for _, b := range batches {
-		if lost := b.lost(lives[b.Life], quiet[b.Connection]); lost != "" {
-			found(1, b, "%s (%s, connection %d, written at %.3f s, due %.3f s) %s", b.ID, b.Group, b.Connection, b.Wrote.Seconds(),
+		if lost := b.lost(seen.Routers[b.Router].Lives[b.Life], quiet[b.Connection]); lost != "" {
+			found(1, b, b.Due, "%s (%s, %s, connection %d, written at %.3f s, due %.3f s) %s", b.ID, b.Group, seen.Routers[b.Router].Name, b.Connection, b.Wrote.Seconds(),
 				b.Due.Seconds(), lost)
 		}
 		if len(b.Answers) > 1 {
-			found(1, b, "%s has %d answers", b.ID, len(b.Answers))
+			found(1, b, b.Answers[1].At, "%s has %d answers", b.ID, len(b.Answers))
 		}
 		if len(b.Answers) == 1 && b.Answers[0].Code == 0 {
 			if wrong := b.wrong(); wrong != "" {
-				found(1, b, "%s is answered with what no engine made for it: %s", b.ID, wrong)
+				found(1, b, b.Answers[0].At, "%s is answered with what no engine made for it: %s", b.ID, wrong)
 			}
 		}
 	}
-	c := &runsCheck{runs: runs, engines: engines, began: began, lives: lives, batches: batches, stills: stills}
-	slices.SortStableFunc(c.runs, func(a, b standin.Run) int { return a.Began.Compare(b.Began) })
+	c := newRunsCheck(seen)
 	c.effects()
 	c.drained()
-	c.cold()
 	c.keys()
 	c.placed()
-	c.budget()
+	c.budgets()
 	return append(out, c.out...)
 }
 
@@ -146,13 +150,3 @@
 	}
 	return ""
 }
-
-// lifeAt is the start of the router that was last at a time.
-func lifeAt(lives []Life, at time.Duration) (n int) {
-	for i, l := range lives {
-		if l.Began <= at {
-			n = i
-		}
-	}
-	return n
-}
--- a/internal/torture/clients.go
+++ b/internal/torture/clients.go
@@ -17,7 +17,10 @@
 type line struct {
 	*standin.Client
 	number int
+	stream uint32 // of the last batch; the client's own
+	router *router
 	life   int
+	again  chan<- *Batch // of its client: what may be asked for once more
 	mutex  sync.Mutex
 	open   map[uint32]*Batch // by stream; an answer, a leave or the end deletes
 	all    map[uint32]*Batch // of this connection, for a second answer; goes with it
@@ -38,28 +41,62 @@
 	l.history = append(l.history, fmt.Sprintf("%.3f s ", l.since().Seconds())+fmt.Sprintf(format, args...))
 }
 
-// client keeps a connection and asks on it until the play's time is over; now and then it takes another one.
+// client keeps a connection, or before a fleet two, and asks on them until the play's time is over; now and then it takes
+// others. Before a fleet it asks once more for what may be asked again, elsewhere if it can.
 func (p *play) client(r *rand.Rand) {
-	var l *line
-	var stream uint32
+	lines := make([]*line, min(p.Routers, 2))
+	again := make(chan *Batch, mostAgain)
 	for p.since() < p.Long {
+		i, before := r.IntN(len(lines)), (*Batch)(nil)
+		select {
+		case before = <-again:
+			if l := lines[i]; l != nil && l.router.number == before.Router {
+				i = len(lines) - 1 - i
+			}
+		default:
+		}
+		l := lines[i]
 		if l == nil || !l.usable() || r.IntN(60) == 0 {
 			if l != nil {
 				p.retire(l)
 			}
-			if l, stream = p.connect(), 0; l == nil {
+			if l = p.connect(r, again); l == nil {
+				lines[i] = nil
 				time.Sleep(20 * time.Millisecond)
 				continue
 			}
+			lines[i] = l
 		}
-		if !p.stopping.Load() {
-			stream++
-			p.ask(l, stream, r)
+		if !l.router.stopping.Load() {
+			l.stream++
+			p.ask(l, l.stream, r, before)
 		}
 		time.Sleep(time.Duration(1+r.IntN(60)) * time.Millisecond)
 	}
-	if l != nil {
-		p.retire(l)
+	var wait sync.WaitGroup
+	for _, l := range lines {
+		if l != nil {
+			wait.Add(1)
+			go func() {
+				defer wait.Done()
+				p.retire(l)
+			}()
+		}
+	}
+	wait.Wait()
+}
+
+const mostAgain = 64 // batches that a client means to ask for again; it forgets more
+
+// mayAsk: another try can't do harm. After a pushback that is the router's promise; after the end of a connection nothing
+// is known, and only what may run twice is asked for.
+func (l *line) mayAsk(b *Batch, pushed bool) {
+	if b.Origin != "" || b.Group == "upload" || b.Group == "once" && !pushed {
+		return
+	}
+	select {
+	case l.again <- b:
+	default:
 	}
 }
 
@@ -69,38 +106,47 @@
 	return !l.noMore && !l.ended && len(l.open) < 30
 }
 
-func (p *play) connect() *line {
-	if p.stopping.Load() {
+// connect takes a connection to some router that is there.
+func (p *play) connect(chance *rand.Rand, again chan<- *Batch) *line {
+	p.world.Lock()
+	all := p.everyone()
+	p.world.Unlock()
+	r := all[chance.IntN(len(all))]
+	if r.stopping.Load() || r.down.Load() {
 		return nil
 	}
-	c, err := standin.Dial(p.address)
+	c, err := standin.Dial(r.address)
 	if err != nil {
 		return nil
 	}
-	p.mutex.Lock()
-	life := len(p.lives) - 1
-	p.mutex.Unlock()
-	l := &line{Client: c, number: int(p.numbers.Add(1)), life: life, open: map[uint32]*Batch{}, all: map[uint32]*Batch{},
+	life := r.starts() - 1
+	l := &line{Client: c, number: int(p.numbers.Add(1)), router: r, life: life, again: again, open: map[uint32]*Batch{}, all: map[uint32]*Batch{},
 		done: make(chan struct{}), since: p.since}
 	p.mutex.Lock()
 	p.lines = append(p.lines, l)
 	p.mutex.Unlock()
-	l.happened("opened, %s, start %d of the router", c.LocalAddr(), life)
+	l.happened("opened, %s, start %d of %s", c.LocalAddr(), life, r.party())
 	go p.read(l)
 	return l
 }
 
 // ask writes one batch; what could not be written whole was never taken.
-func (p *play) ask(l *line, stream uint32, r *rand.Rand) {
+func (p *play) ask(l *line, stream uint32, r *rand.Rand, before *Batch) {
 	groups := []struct {
 		name  string
 		limit time.Duration
 	}{{"lookup", 4 * time.Second}, {"lookup", 4 * time.Second}, {"report", 8 * time.Second}, {"upload", 6 * time.Second}, {"once", 4 * time.Second}}
 	g := groups[r.IntN(len(groups))]
 	n := p.ids.Add(1)
-	b := &Batch{ID: fmt.Sprintf("%08x%08x", uint32(p.Seed), n), Group: g.name, Rows: 1 + r.IntN(250), Connection: l.number, Life: l.life}
+	b := &Batch{ID: fmt.Sprintf("%08x%08x", uint32(p.Seed), n), Group: g.name, Rows: 1 + r.IntN(250), Connection: l.number, Router: l.router.number, Life: l.life}
+	if before != nil {
+		b.Origin, b.Group, b.Rows, b.sets = before.ID, before.Group, before.Rows, before.sets
+		g.name, g.limit = b.Group, before.Due-before.Wrote
+	} else {
+		b.sets = r.IntN(20)
+	}
 	fields := []string{"c", g.name, "i", b.ID, "d", strconv.Itoa(int(g.limit.Milliseconds()))}
-	text := fmt.Sprintf("SELECT %d FROM sales_%d.orders", b.Rows, r.IntN(20))
+	text := fmt.Sprintf("SELECT %d FROM sales_%d.orders", b.Rows, b.sets)
 	if g.name == "upload" {
 		b.Key = fmt.Sprintf("%016x", 1+r.IntN(6))
 		fields = append(fields, "o", b.Key, "k", fmt.Sprintf("%032x", n))
@@ -160,6 +206,7 @@
 			l.happened("ended with %d open: %s", len(l.open), err)
 			for _, b := range l.open {
 				b.Ended, b.End = p.since(), err.Error()
+				l.mayAsk(b, false)
 			}
 			l.mutex.Unlock()
 			l.Close()
@@ -168,6 +215,9 @@
 			b := l.all[a.Stream]
 			b.Answers = append(b.Answers, Answer{p.since(), a.Code, a.Body})
 			delete(l.open, a.Stream)
+			if a.Code == pushedBack {
+				l.mayAsk(b, true)
+			}
 			l.happened("%s answered with code %d", b.ID, a.Code)
 		case a.Type == 30:
 			l.noMore = true
--- a/internal/torture/cmd/main.go
+++ b/internal/torture/cmd/main.go
@@ -6,7 +6,6 @@
 package main
 
 import (
-	"bufio"
 	"flag"
 	"fmt"
 	"os"
@@ -27,6 +26,8 @@
 	beside       int
 	folder, root string
 	only         string
+	routers      int
+	older        string
 }
 
 func main() {
@@ -39,15 +40,18 @@
 	flag.StringVar(&o.folder, "out", "", "folder for logs; empty: one that is removed, unless something was found")
 	flag.StringVar(&o.root, "root", ".", "of the repository")
 	flag.StringVar(&o.only, "only", "", "of the defects, those whose name has this in it")
+	flag.IntVar(&o.routers, "routers", 1, "before the same engines")
+	flag.StringVar(&o.older, "older", "", "a commit whose program some of several routers run for a while")
+	measure := flag.Bool("measure", false, "no script: service and use of budgets by 2 to 12 routers, with none and half of them killed")
 	defects := flag.Bool("defects", false, "look for the defects of defects.toml")
 	flag.Parse()
-	if err := run(o, *defects); err != nil {
+	if err := run(o, *defects, *measure); err != nil {
 		fmt.Fprintln(os.Stderr, "torture:", err)
 		os.Exit(1)
 	}
 }
 
-func run(o options, defects bool) error {
+func run(o options, defects, measure bool) error {
 	made := o.folder == ""
 	if made {
 		var err error
@@ -58,6 +62,8 @@
 	var err error
 	if defects {
 		err = o.hunt()
+	} else if measure {
+		err = o.measure()
 	} else {
 		err = o.sound()
 	}
@@ -70,19 +76,78 @@
 	return nil
 }
 
-// sound plays all seeds of the program as it stands.
-func (o options) sound() error {
+// build builds the program as it stands.
+func (o options) build() (string, error) {
 	program := filepath.Join(o.folder, "pitchfield")
 	c := exec.Command("go", "build", "-o", program, "./cmd/pitchfield")
 	c.Dir = o.root
 	if out, err := c.CombinedOutput(); err != nil {
-		return fmt.Errorf("build: %w: %s", err, out)
+		return "", fmt.Errorf("build: %w: %s", err, out)
+	}
+	return program, nil
+}
+
+// buildOlder builds the program of a commit.
+func (o options) buildOlder() (string, error) {
+	tree, program := filepath.Join(o.folder, "older"), filepath.Join(o.folder, "pitchfield-older")
+	for _, words := range [][]string{{"git", "worktree", "add", "--detach", tree, o.older}, {"go", "build", "-C", tree, "-o", program, "./cmd/pitchfield"},
+		{"git", "worktree", "remove", "--force", tree}} {
+		c := exec.Command(words[0], words[1:]...)
+		c.Dir = o.root
+		if out, err := c.CombinedOutput(); err != nil {
+			return "", fmt.Errorf("older: %w: %s", err, out)
+		}
+	}
+	return program, nil
+}
+
+// measure plays the same load before 2 to 12 routers while engines are replaced.
+func (o options) measure() error {
+	program, err := o.build()
+	if err != nil {
+		return err
+	}
+	fmt.Println("routers  killed  returned  pushed back  errored  dispatches a batch  cold budget used: mean  most  all alive  some dead  probes a second  longest without")
+	for _, routers := range []int{2, 4, 8, 12} {
+		for _, killed := range []bool{false, true} {
+			var sum torture.Figures
+			for i := range o.seeds {
+				r, err := torture.Run(torture.Options{Program: program, Seed: o.first + i, Long: o.long, Clients: o.clients, Folder: o.folder, Routers: routers,
+					Steps: torture.Replacements(o.long, routers, killed)})
+				if err != nil {
+					return err
+				}
+				if len(r.Findings) > 0 {
+					tell(r)
+				}
+				sum.Add(r.Figures())
+			}
+			f := sum.Mean()
+			fmt.Printf("%7d  %6t  %8.3f  %11.3f  %7.3f  %18.2f  %22.2f  %4.2f  %9.2f  %9.2f  %15.2f  %15.2f\n", routers, killed, f.Returned, f.Pushed,
+				f.Errored, f.Dispatches, f.Cold.Mean, f.Cold.Most, f.Cold.Alive, f.Cold.Dead, f.Probing.Mean, f.Probing.Longest.Seconds())
+		}
+	}
+	return nil
+}
+
+// sound plays all seeds of the program as it stands.
+func (o options) sound() error {
+	program, err := o.build()
+	if err != nil {
+		return err
+	}
+	older := ""
+	if o.older != "" {
+		if older, err = o.buildOlder(); err != nil {
+			return err
+		}
 	}
 	var mutex sync.Mutex
 	broken, batches := 0, 0
 	var failure error
 	each(o.beside, int(o.seeds), func(i int) {
-		r, err := torture.Run(torture.Options{Program: program, Seed: o.first + uint64(i), Long: o.long, Clients: o.clients, Folder: o.folder})
+		r, err := torture.Run(torture.Options{Program: program, Older: older, Seed: o.first + uint64(i), Long: o.long, Clients: o.clients, Folder: o.folder,
+			Routers: o.routers})
 		mutex.Lock()
 		defer mutex.Unlock()
 		if err != nil {
@@ -117,28 +182,10 @@
 				fmt.Println("       ", h)
 			}
 		}
-		if f.Batch != "" {
-			for _, l := range saidOf(r.Log, f.Batch) {
-				fmt.Println("        router:", l)
-			}
-		}
-	}
-}
-
-// saidOf gives the router's last lines that name a batch.
-func saidOf(file, id string) (out []string) {
-	const most = 4
-	f, err := os.Open(file)
-	if err != nil {
-		return []string{err.Error()}
-	}
-	defer f.Close()
-	for lines := bufio.NewScanner(f); lines.Scan(); {
-		if strings.Contains(lines.Text(), id) {
-			out = append(out, lines.Text())
+		for _, l := range r.Said(f) {
+			fmt.Println("        ", l)
 		}
 	}
-	return out[max(len(out)-most, 0):]
 }
 
 // hunt looks for each defect until a seed finds it. A finding under another rule counts as well: it is told which.
@@ -156,13 +203,18 @@
 	outcomes := make([]outcome, len(defects))
 	each(o.beside, len(defects), func(i int) {
 		d, out := defects[i], &outcomes[i]
+		routers := 1
+		if d.Fleet {
+			routers = max(o.routers, 3)
+		}
 		folder := filepath.Join(o.folder, fmt.Sprint("defect-", i))
 		program := filepath.Join(folder, "pitchfield")
 		if out.err = os.MkdirAll(folder, 0o755); out.err == nil {
 			out.err = d.Build(o.root, program)
 		}
 		for seed := o.first; seed < o.first+o.seeds && out.err == nil && out.finding == nil; seed++ {
-			r, err := torture.Run(torture.Options{Program: program, Seed: seed, Long: o.long, Clients: o.clients, Folder: folder})
+			r, err := torture.Run(torture.Options{Program: program, Seed: seed, Long: o.long, Clients: o.clients, Folder: folder,
+				Routers: routers})
 			if out.err = err; err != nil {
 				break
 			}
--- a/internal/torture/defects.go
+++ b/internal/torture/defects.go
@@ -19,6 +19,7 @@
 type Defect struct {
 	Name          string
 	Rule          int    // that it breaks
+	Fleet         bool   // it shows only where there are several routers
 	File          string // from the root of the repository
 	Before, After string
 }
--- a/internal/torture/play.go
+++ b/internal/torture/play.go
@@ -8,13 +8,12 @@
 	"math/rand/v2"
 	"net"
 	"os"
-	"os/exec"
-	"path/filepath"
+	"slices"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
+	"pitchfield/internal/relay"
 	"pitchfield/internal/standin"
 )
 
@@ -27,6 +26,9 @@
 	MemoryMB    int           // of the router; 0: 32
 	Descriptors int           // 0: 256
 	Folder      string        // for configuration and log
+	Routers     int           // before the same engines; 0: one, without links that could be cut
+	Older       string        // another build of the program, which some of them run for a while; empty: the same one
+	Steps       []Step        // in place of those drawn by the seed
 }
 
 // Result is what came of a play.
@@ -34,12 +36,16 @@
 	Seed     uint64
 	Steps    []Step
 	Batches  []*Batch
-	Lives    []Life
+	Routers  []Router
 	Runs     []standin.Run
+	Probes   []standin.Probe
 	Engines  map[string]Engine // by name
+	Weather  []Weather
 	Findings []Finding
 	History  map[int][]string // of clients' connections, by number: the last that happened on each
-	Log      string           // file of the router's lines
+	Logs     []string         // files of the routers' lines
+	Began    time.Time
+	Long     time.Duration
 }
 
 // Counts sums up the answers by code, and what had none.
@@ -57,8 +63,12 @@
 			errored++
 		}
 	}
+	starts := 0
+	for _, one := range r.Routers {
+		starts += len(one.Lives)
+	}
 	return fmt.Sprintf("%d batches: %d returned, %d pushed back, %d errored, %d without an answer; %d starts, %d steps",
-		len(r.Batches), returned, pushed, errored, none, len(r.Lives), len(r.Steps))
+		len(r.Batches), returned, pushed, errored, none, starts, len(r.Steps))
 }
 
 const (
@@ -72,64 +82,60 @@
 type play struct {
 	Options
 	began   time.Time
-	host    string // loopback address that the play has to itself
-	address string
-	config  string
-	log     *os.File
+	host    string        // loopback address that the play has to itself
+	fabric  *relay.Fabric // of the links to engines and name services; nil: there are none
+	routers []*router
 	ledger  *standin.Ledger
 
-	// What lets things go wrong has these to itself.
-	names   *standin.Names
+	world   sync.Mutex // of the next four, and of what names say
+	twins   []*router
 	engines []*member // there now
 	were    []*member // ever
 	made    int
-	limits  [2]int // memory and descriptors, as last told
-	process *exec.Cmd
-	exited  chan struct{}
-	failure error
 
-	stills   []Still
-	mutex    sync.Mutex // of the next three
-	lives    []Life
+	mutex    sync.Mutex // of the next four
+	failure  error
+	weather  []Weather
 	batches  []*Batch
 	lines    []*line
 	ids      atomic.Uint64
-	numbers  atomic.Int64 // of connections
-	stopping atomic.Bool
+	numbers  atomic.Int64   // of connections
 	retiring sync.WaitGroup // connections that wait for their last answers
+	faults   sync.WaitGroup // that go on
 }
 
 var plays atomic.Uint32
 
 func (p *play) since() time.Duration { return time.Since(p.began) }
 
+// failed notes that the rig itself could not do what it wants.
+func (p *play) failed(err error) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if err != nil && p.failure == nil {
+		p.failure = err
+	}
+}
+
 // Run plays one seed.
 func Run(o Options) (*Result, error) {
 	o.Clients, o.MemoryMB, o.Descriptors = cmp.Or(o.Clients, 24), cmp.Or(o.MemoryMB, 32), cmp.Or(o.Descriptors, 256)
-	p := &play{Options: o, began: time.Now(), ledger: &standin.Ledger{Memory: window, GivesUp: true}, limits: [2]int{o.MemoryMB, o.Descriptors}}
+	o.Routers, o.Older = max(o.Routers, 1), cmp.Or(o.Older, o.Program)
+	p := &play{Options: o, began: time.Now(), ledger: &standin.Ledger{Memory: window, GivesUp: true}}
 	p.ledger.Script = p.act
-	// A loopback address of its own keeps a port free between two starts of the router.
 	n := plays.Add(1)
 	p.host = fmt.Sprintf("127.%d.%d.%d", 60+os.Getpid()%100, n/250%250, 1+n%250)
-	p.address, p.config = p.host+":7400", filepath.Join(o.Folder, fmt.Sprintf("config-%d.json", o.Seed))
-	var err error
-	if p.log, err = os.Create(p.logFile()); err != nil {
-		return nil, fmt.Errorf("torture: %w", err)
+	steps := o.Steps
+	if steps == nil {
+		steps = Script(o.Seed, o.Long, o.Routers)
 	}
-	defer p.log.Close()
-	if p.names, err = standin.NewNames(p.host + ":0"); err != nil {
-		return nil, err
+	if o.Routers > 1 {
+		p.fabric = relay.New(o.Seed)
+		defer p.fabric.Close()
 	}
-	for i := range engineCount {
-		if err := p.addEngine(zones[i%len(zones)], false); err != nil {
-			return nil, err
-		}
-	}
-	p.list()
-	if err := p.start(); err != nil {
+	if err := p.open(steps); err != nil {
 		return nil, err
 	}
-	steps := Script(o.Seed, o.Long)
 	var clients sync.WaitGroup
 	for i := range o.Clients {
 		clients.Add(1)
@@ -140,23 +146,89 @@
 	}
 	for _, s := range steps {
 		time.Sleep(time.Until(p.began.Add(s.At)))
-		p.do(s)
+		if o.Routers == 1 { // in turn: there is one process for all of them
+			p.do(s)
+			continue
+		}
+		p.faults.Add(1)
+		go func() {
+			defer p.faults.Done()
+			p.do(s)
+		}()
 	}
+	p.faults.Wait()
 	clients.Wait()
 	p.retiring.Wait()
-	p.term()
-	p.wait()
+	return p.close(steps), p.failure
+}
+
+// open puts up engines and routers; those that a step brings later wait for it.
+func (p *play) open(steps []Step) error {
+	p.world.Lock()
+	defer p.world.Unlock()
+	for i := range engineCount {
+		if err := p.addEngine(zones[i%len(zones)], false); err != nil {
+			return err
+		}
+	}
+	for i := range p.Routers {
+		r, err := p.newRouter(i, p.Program)
+		if err != nil {
+			return err
+		}
+		p.routers = append(p.routers, r)
+	}
+	if err := p.list(); err != nil {
+		return err
+	}
+	var wait sync.WaitGroup
+	for _, r := range p.routers {
+		if slices.ContainsFunc(steps, func(s Step) bool { return s.Fault == Newcomer && p.pick(s) == r }) {
+			continue
+		}
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			p.failed(r.start())
+		}()
+	}
+	wait.Wait()
+	return p.failure
+}
+
+// close ends all in peace and looks at what has been.
+func (p *play) close(steps []Step) *Result {
+	if p.fabric != nil {
+		p.fabric.Heal()
+	}
+	var wait sync.WaitGroup
+	for _, r := range p.everyone() {
+		if r.down.Load() {
+			continue
+		}
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			r.term()
+			r.wait()
+		}()
+	}
+	wait.Wait()
 	for _, e := range p.engines {
 		e.Stop()
 	}
-	p.names.Close()
-	r := &Result{Seed: o.Seed, Steps: steps, Batches: p.batches, Lives: p.lives, Runs: p.ledger.Runs(), Engines: p.fleet(),
-		History: map[int][]string{}, Log: p.logFile()}
+	r := &Result{Seed: p.Seed, Steps: steps, Batches: p.batches, Runs: p.ledger.Runs(), Probes: p.ledger.Probes(), Engines: p.fleet(),
+		Weather: p.weather, History: map[int][]string{}, Began: p.began, Long: p.Long}
+	for _, one := range p.everyone() {
+		one.names.Close()
+		one.log.Close()
+		r.Routers, r.Logs = append(r.Routers, one.seen()), append(r.Logs, one.logFile())
+	}
 	for _, l := range p.lines {
 		r.History[l.number] = l.history
 	}
-	r.Findings = Check(r.Batches, r.Lives, r.Runs, r.Engines, p.stills, p.began)
-	return r, p.failure
+	r.Findings = Check(r)
+	return r
 }
 
 // act is what an engine does with a batch: its text and how often it has come decide, so a seed always does the same.
@@ -180,158 +252,137 @@
 	return n
 }
 
-// start starts the router and waits until it is ready.
-func (p *play) start() error {
-	if err := p.configure(); err != nil {
-		return err
-	}
-	c := exec.Command("/bin/sh", "-c", fmt.Sprintf(`ulimit -n %d && exec "$0"`, p.Descriptors), p.Program)
-	c.Env, c.Stderr = append(os.Environ(), "RELAY_CONFIG="+p.config), p.log
-	if err := c.Start(); err != nil {
-		return fmt.Errorf("torture: %w", err)
-	}
-	p.process, p.exited = c, make(chan struct{})
-	p.mutex.Lock()
-	p.lives = append(p.lives, Life{Began: p.since()})
-	life, exited := len(p.lives)-1, p.exited
-	p.mutex.Unlock()
-	go func() {
-		c.Wait() //nolint:errcheck
-		p.mutex.Lock()
-		p.lives[life].Ended, p.lives[life].Exit = p.since(), c.ProcessState.String()
-		p.mutex.Unlock()
-		close(exited)
-	}()
-	for end := time.Now().Add(upWithin); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
-		if k, err := standin.Dial(p.address); err == nil {
-			_, err := k.Write(standin.Frame(20, 1, []string{}, ""))
-			a, err2 := k.Next(time.Second)
-			k.Close()
-			if err == nil && err2 == nil && a.Type == 21 && a.Code == 0 {
-				p.stopping.Store(false)
-				return nil
-			}
-		}
-	}
-	return fmt.Errorf("torture: seed %d: the router was not ready within %s", p.Seed, upWithin)
-}
-
-func (p *play) hangup() { p.signal(syscall.SIGHUP) }
+// everyone is all routers and twins. The fleet is locked, or nothing changes any more.
+func (p *play) everyone() []*router { return append(slices.Clone(p.routers), p.twins...) }
 
-func (p *play) signal(s syscall.Signal) { p.process.Process.Signal(s) } //nolint:errcheck
+// pick is the router that a step means.
+func (p *play) pick(s Step) *router { return p.routers[s.Which%p.Routers] }
 
-// term asks the router to end in peace.
-func (p *play) term() {
-	p.stopping.Store(true)
-	p.mutex.Lock()
-	p.lives[len(p.lives)-1].Term = p.since()
-	p.mutex.Unlock()
-	p.signal(syscall.SIGTERM)
-}
-
-// wait waits until it has; a router that does not is killed, which is a finding.
-func (p *play) wait() {
-	select {
-	case <-p.exited:
-	case <-time.After(stopWithin):
-		p.kill()
+// several are those that a step means where it means a share of them: at least one, at most all but one.
+func (p *play) several(s Step, share float64) (out []*router) {
+	n := min(max(int(share*float64(p.Routers)+0.5), 1), max(p.Routers-1, 1))
+	for i := range n {
+		out = append(out, p.routers[(s.Which+i)%p.Routers])
 	}
+	return out
 }
 
-func (p *play) kill() {
-	p.mutex.Lock()
-	p.lives[len(p.lives)-1].Killed = p.since()
-	p.mutex.Unlock()
-	p.signal(syscall.SIGKILL)
-	<-p.exited
+// each does the same with several at once, having each to itself, and waits.
+func each(all []*router, do func(r *router)) {
+	var wait sync.WaitGroup
+	for _, r := range all {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			r.busy.Lock()
+			defer r.busy.Unlock()
+			do(r)
+		}()
+	}
+	wait.Wait()
 }
 
 // do lets one thing go wrong.
 func (p *play) do(s Step) {
-	failed := func(err error) {
-		if err != nil && p.failure == nil {
-			p.failure = err
+	p.world.Lock()
+	p.failed(p.drained())
+	engine := p.engines[s.Which%len(p.engines)]
+	p.world.Unlock()
+	chance := rand.New(rand.NewPCG(p.Seed, uint64(s.At)))
+	switch s.Fault {
+	case NamesLost, EngineMute, EngineSwap, Drain:
+		p.disturb(s, engine)
+	case CutEngine, CutZone, CutOneWay, CutNames, Drip, Lossy:
+		p.cloud(s, engine)
+	case KillMany, RestartAll, FreezeMany, Newcomer, Twin, OtherBuild:
+		p.shake(s)
+	case Rude:
+		go p.pick(s).rude(s)
+	default:
+		r := p.pick(s)
+		r.busy.Lock()
+		defer r.busy.Unlock()
+		if !r.down.Load() {
+			r.disturb(s, chance)
 		}
 	}
-	failed(p.drained())
-	r := rand.New(rand.NewPCG(p.Seed, uint64(s.At)))
-	engine := p.engines[s.Which%len(p.engines)]
+}
+
+// disturb lets something go wrong with engines or the list of them.
+func (p *play) disturb(s Step, engine *member) {
+	p.world.Lock()
+	defer p.world.Unlock()
+	switch s.Fault {
+	case NamesLost:
+		r := p.pick(s)
+		r.names.Close()
+		p.world.Unlock()
+		time.Sleep(s.For)
+		p.world.Lock()
+		p.failed(r.moveNames())
+	case EngineMute:
+		engine.Silence(s.For)
+	case EngineSwap:
+		p.failed(p.swap(engine))
+	case Drain:
+		p.failed(p.drain(engine))
+	}
+}
+
+// disturb lets something go wrong with one process.
+func (r *router) disturb(s Step, chance *rand.Rand) {
+	names := func() {
+		r.world.Lock()
+		defer r.world.Unlock()
+		r.failed(r.moveNames())
+	}
 	switch s.Fault {
 	case MoveNames:
-		failed(p.moveNames())
+		names()
 	case Reload:
-		p.limits = [2]int{p.MemoryMB + r.IntN(33), p.Descriptors - r.IntN(65)}
-		failed(p.configure())
-		p.hangup()
+		r.limits = [2]int{r.MemoryMB + chance.IntN(33), r.Descriptors - chance.IntN(65)}
+		r.failed(r.configure())
+		r.hangup()
 	case Burst:
 		for range 2 + s.Which {
-			if r.IntN(2) == 0 {
-				failed(p.moveNames())
+			if chance.IntN(2) == 0 {
+				names()
 			} else {
-				p.hangup()
+				r.hangup()
 			}
-			time.Sleep(time.Duration(r.IntN(15)) * time.Millisecond)
+			time.Sleep(time.Duration(chance.IntN(15)) * time.Millisecond)
 		}
 	case Freeze:
-		from := p.since()
-		p.signal(syscall.SIGSTOP)
-		time.Sleep(s.For)
-		p.signal(syscall.SIGCONT)
-		p.stills = append(p.stills, Still{from, p.since()})
+		r.freeze(s.For)
 	case Restart, ReloadStop:
-		p.term()
+		r.term()
 		if s.Fault == ReloadStop {
 			for range s.Which {
-				p.hangup()
-				time.Sleep(time.Duration(r.IntN(10)) * time.Millisecond)
+				r.hangup()
+				time.Sleep(time.Duration(chance.IntN(10)) * time.Millisecond)
 			}
 		}
-		p.wait()
-		failed(p.start())
+		r.wait()
+		r.failed(r.start())
 	case Kill:
-		p.kill()
-		failed(p.start())
-	case NamesLost:
-		old := p.names
-		old.Close()
-		time.Sleep(s.For)
-		failed(p.moveNames())
-	case EngineMute:
-		engine.Silence(s.For)
-	case EngineSwap:
-		failed(p.swap(engine))
-	case Drain:
-		p.drain(engine)
+		r.kill()
+		r.failed(r.start())
 	case Churn:
 		for range 4 * s.Which {
-			if c, err := net.DialTimeout("tcp", p.address, time.Second); err == nil {
+			if c, err := net.DialTimeout("tcp", r.address, time.Second); err == nil {
 				c.Close()
 			}
 		}
 	case Throttle:
-		p.stills = append(p.stills, Still{p.since(), p.since() + 4*s.For})
-		go throttle(p.process.Process, 4*s.For)
-	case Rude:
-		go p.rude(s)
-	}
-}
-
-// throttle goes on beside other faults. It ends with the process running, or gone.
-func throttle(of *os.Process, long time.Duration) {
-	for end := time.Now().Add(long); time.Now().Before(end); time.Sleep(25 * time.Millisecond) {
-		if of.Signal(syscall.SIGSTOP) != nil {
-			return
-		}
-		time.Sleep(75 * time.Millisecond)
-		of.Signal(syscall.SIGCONT) //nolint:errcheck
+		r.throttle(4 * s.For)
 	}
 }
 
 // rude connects, says nothing or what is no frame, and waits.
-func (p *play) rude(s Step) {
+func (r *router) rude(s Step) {
 	var conns []net.Conn
 	for i := range 10 * s.Which {
-		c, err := net.DialTimeout("tcp", p.address, time.Second)
+		c, err := net.DialTimeout("tcp", r.address, time.Second)
 		if err != nil {
 			continue
 		}
--- /dev/null
+++ b/internal/torture/router.go
@@ -0,0 +1,256 @@
+package torture
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"pitchfield/internal/relay"
+	"pitchfield/internal/rig"
+	"pitchfield/internal/standin"
+)
+
+// router is one of a play: the processes that run under its name, one after the other, and its ways to all others.
+type router struct {
+	*play
+	number  int // place among the routers of the play
+	index   int // that it is told; a twin has the one of whom it doubles
+	name    string
+	address string
+	program string
+	config  string
+	log     *os.File
+
+	names *standin.Names           // its own view of the list; the fleet's lock covers it
+	asks  string                   // where it finds them
+	ways  map[string]*relay.Stream // to engines, by name, where there is a fabric; the play's end closes them
+
+	busy     sync.Mutex // whoever lets something go wrong with the process has it to himself
+	limits   [2]int     // memory and descriptors, as last told
+	process  *exec.Cmd
+	exited   chan struct{}
+	stopping atomic.Bool
+	down     atomic.Bool // no process runs, and none is about to
+
+	mutex  sync.Mutex // of the next two
+	lives  []Life
+	stills []Still
+}
+
+// Router is what the checker is told of one.
+type Router struct {
+	Name   string
+	Lives  []Life
+	Stills []Still
+	Told   map[string]time.Duration // when it was first told that an engine drains, by name
+}
+
+func (p *play) newRouter(index int, program string) (*router, error) {
+	r := &router{play: p, number: len(p.routers) + len(p.twins), index: index, name: fmt.Sprintf("n%d", index+1), program: program,
+		ways: map[string]*relay.Stream{}, limits: [2]int{p.MemoryMB, p.Descriptors}}
+	// A loopback address of the play's own keeps a port free between two starts of a router.
+	r.address = fmt.Sprintf("%s:%d", p.host, 7400+r.number)
+	r.config = filepath.Join(p.Folder, fmt.Sprintf("config-%d-%d.json", p.Seed, r.number))
+	r.down.Store(true)
+	var err error
+	if r.log, err = os.Create(r.logFile()); err != nil {
+		return nil, fmt.Errorf("torture: %w", err)
+	}
+	if r.names, err = standin.NewNames(p.host + ":0"); err != nil {
+		return nil, err
+	}
+	return r, r.findNames()
+}
+
+// party is what links call it.
+func (r *router) party() string { return fmt.Sprintf("r%d", r.number) }
+
+// findNames makes the way to the name service.
+func (r *router) findNames() error {
+	r.asks = r.names.LocalAddr().String()
+	if r.fabric == nil {
+		return nil
+	}
+	way, err := r.fabric.Datagrams(r.host, r.party(), namesParty, nil, r.names.LocalAddr())
+	if err != nil {
+		return err
+	}
+	r.asks = way.A.LocalAddr().String()
+	return nil
+}
+
+// wayTo gives the address by which this router reaches an engine.
+func (r *router) wayTo(e *member, address string) (string, error) {
+	if r.fabric == nil {
+		return address, nil
+	}
+	if r.ways[e.Engine.Name] == nil {
+		way, err := r.fabric.Stream(r.host, r.party(), e.Engine.Name, address)
+		if err != nil {
+			return "", err
+		}
+		r.ways[e.Engine.Name] = way
+	}
+	return r.ways[e.Engine.Name].Addr().String(), nil
+}
+
+// configure writes what the router is told; the change of the file is whole or not at all, as an operator's would be.
+func (r *router) configure() error {
+	told := fmt.Sprintf(settings, r.Routers, r.index)
+	text, err := rig.Configuration(told, r.name, r.address, fmt.Sprintf("%08x%08x", uint32(r.Seed), r.number+16*r.starts()), r.limits[0], r.limits[1], r.asks)
+	if err == nil {
+		if err = os.WriteFile(r.config+".new", text, 0o600); err == nil {
+			err = os.Rename(r.config+".new", r.config)
+		}
+	}
+	if err != nil {
+		return fmt.Errorf("torture: %w", err)
+	}
+	return nil
+}
+
+func (r *router) starts() int {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return len(r.lives)
+}
+
+// moveNames puts its name service at another address and tells it by SIGHUP. The old one falls silent. The fleet is locked.
+func (r *router) moveNames() error {
+	names, err := standin.NewNames(r.host + ":0")
+	if err != nil {
+		return err
+	}
+	r.names.Close() // before its numbers go over: what it says later is not known here
+	names.From(r.names)
+	r.names = names
+	if err := r.findNames(); err != nil {
+		return err
+	}
+	if err := r.configure(); err != nil {
+		return err
+	}
+	r.hangup()
+	return nil
+}
+
+func (r *router) logFile() string {
+	return filepath.Join(r.Folder, fmt.Sprintf("log-%d-%d.json", r.Seed, r.number))
+}
+
+// start starts the process and waits until it is ready.
+func (r *router) start() error {
+	if err := r.configure(); err != nil {
+		return err
+	}
+	c := exec.Command("/bin/sh", "-c", fmt.Sprintf(`ulimit -n %d && exec "$0"`, r.Descriptors), r.program)
+	c.Env, c.Stderr = append(os.Environ(), "RELAY_CONFIG="+r.config), r.log
+	if err := c.Start(); err != nil {
+		return fmt.Errorf("torture: %w", err)
+	}
+	r.process, r.exited = c, make(chan struct{})
+	r.mutex.Lock()
+	r.lives = append(r.lives, Life{Began: r.since()})
+	life, exited := len(r.lives)-1, r.exited
+	r.mutex.Unlock()
+	go func() {
+		c.Wait() //nolint:errcheck
+		r.mutex.Lock()
+		r.lives[life].Ended, r.lives[life].Exit = r.since(), c.ProcessState.String()
+		r.mutex.Unlock()
+		close(exited)
+	}()
+	for end := time.Now().Add(upWithin); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if k, err := standin.Dial(r.address); err == nil {
+			_, err := k.Write(standin.Frame(20, 1, []string{}, ""))
+			a, err2 := k.Next(time.Second)
+			k.Close()
+			if err == nil && err2 == nil && a.Type == 21 && a.Code == 0 {
+				r.stopping.Store(false)
+				r.down.Store(false)
+				return nil
+			}
+		}
+	}
+	return fmt.Errorf("torture: seed %d: router %s was not ready within %s", r.Seed, r.name, upWithin)
+}
+
+func (r *router) hangup() { r.signal(syscall.SIGHUP) }
+
+func (r *router) signal(s syscall.Signal) {
+	if r.process != nil {
+		r.process.Process.Signal(s) //nolint:errcheck // it may have ended
+	}
+}
+
+// term asks the process to end in peace.
+func (r *router) term() {
+	r.stopping.Store(true)
+	r.mutex.Lock()
+	r.lives[len(r.lives)-1].Term = r.since()
+	r.mutex.Unlock()
+	r.signal(syscall.SIGTERM)
+}
+
+// wait waits until it has; a process that does not is killed, which is a finding.
+func (r *router) wait() {
+	select {
+	case <-r.exited:
+	case <-time.After(stopWithin):
+		r.kill()
+	}
+	r.down.Store(true)
+}
+
+func (r *router) kill() {
+	r.down.Store(true)
+	r.mutex.Lock()
+	r.lives[len(r.lives)-1].Killed = r.since()
+	r.mutex.Unlock()
+	r.signal(syscall.SIGKILL)
+	<-r.exited
+}
+
+// freeze stops the process for a while.
+func (r *router) freeze(long time.Duration) {
+	from := r.since()
+	r.signal(syscall.SIGSTOP)
+	time.Sleep(long)
+	r.signal(syscall.SIGCONT)
+	r.mutex.Lock()
+	r.stills = append(r.stills, Still{from, r.since()})
+	r.mutex.Unlock()
+}
+
+// throttle gives it a quarter of each tenth of a second, beside other faults. It ends with the process running, or gone.
+func (r *router) throttle(long time.Duration) {
+	r.mutex.Lock()
+	r.stills = append(r.stills, Still{r.since(), r.since() + long})
+	r.mutex.Unlock()
+	of := r.process.Process
+	go func() {
+		for end := time.Now().Add(long); time.Now().Before(end); time.Sleep(25 * time.Millisecond) {
+			if of.Signal(syscall.SIGSTOP) != nil {
+				return
+			}
+			time.Sleep(75 * time.Millisecond)
+			of.Signal(syscall.SIGCONT) //nolint:errcheck
+		}
+	}()
+}
+
+// seen is what the checker is told.
+func (r *router) seen() Router {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	out := Router{Name: r.party(), Lives: r.lives, Stills: r.stills, Told: map[string]time.Duration{}}
+	for name, at := range r.names.Drains() {
+		out.Told[name] = at.Sub(r.began)
+	}
+	return out
+}
--- a/internal/torture/runs.go
+++ b/internal/torture/runs.go
@@ -2,32 +2,59 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"pitchfield/internal/standin"
 )
 
 // runsCheck holds dispatches to the rules by what came to engines, in the order it came. A router that starts again knows
-// nothing of what the last one had sent, so keys and budgets are held to within one start.
+// nothing of what the last one had sent, so keys and budgets of one router are held to within one start.
 type runsCheck struct {
-	runs    []standin.Run
-	engines map[string]Engine
-	lives   []Life
-	batches []*Batch
-	stills  []Still
-	began   time.Time
-	out     []Finding
+	*Result
+	runs []standin.Run
+	by   map[string]*Batch // by id
+	out  []Finding
+
+	firsts map[string]time.Time // when a batch was first sent, by id
+	taken  [][]time.Duration    // batches of each router
+	starts map[string]int       // routers, by the name of a start
+}
+
+func newRunsCheck(seen *Result) *runsCheck {
+	c := &runsCheck{Result: seen, runs: slices.Clone(seen.Runs), by: map[string]*Batch{}, starts: map[string]int{}}
+	for _, b := range seen.Batches {
+		c.by[b.ID] = b
+	}
+	slices.SortStableFunc(c.runs, func(a, b standin.Run) int { return a.Began.Compare(b.Began) })
+	return c
 }
 
 func (c *runsCheck) found(rule int, r standin.Run, format string, args ...any) {
-	c.out = append(c.out, Finding{Rule: rule, Batch: r.ID, What: fmt.Sprintf(format, args...)})
+	c.out = append(c.out, Finding{Rule: rule, Batch: r.ID, At: c.at(r), What: fmt.Sprintf(format, args...)})
+}
+
+func (c *runsCheck) at(r standin.Run) time.Duration { return r.Began.Sub(c.Began) }
+
+// router is the number of the one that sent it. What no client has written whole is the first one's.
+func (c *runsCheck) router(r standin.Run) int {
+	if b := c.by[r.ID]; b != nil {
+		return b.Router
+	}
+	return 0
 }
 
-func (c *runsCheck) at(r standin.Run) time.Duration { return r.Began.Sub(c.began) }
+// origin is the batch that a client first asked for.
+func (c *runsCheck) origin(id string) string {
+	if b := c.by[id]; b != nil && b.Origin != "" {
+		return b.Origin
+	}
+	return id
+}
 
 // life is the start of the router that was last at a time.
-func (c *runsCheck) life(at time.Duration) (n int) {
-	for i, l := range c.lives {
+func (c *runsCheck) life(router int, at time.Duration) (n int) {
+	for i, l := range c.Routers[router].Lives {
 		if l.Began <= at {
 			n = i
 		}
@@ -36,16 +63,38 @@
 }
 
 // slack is what may lie between a decision and its arrival: the ways on a busy machine, and what of the time the router
-// stood still.
-func (c *runsCheck) slack(from, to time.Duration) time.Duration {
-	out := wayWithin
-	for _, s := range c.stills {
-		out += max(min(to, s.To)-max(from, s.From), 0)
+// stood still or its link to the engine was not fair.
+func (c *runsCheck) slack(r standin.Run, from, to time.Duration) time.Duration {
+	out, router := wayWithin, c.Routers[c.router(r)]
+	for _, s := range router.Stills {
+		out += s.within(from, to)
+	}
+	for _, w := range c.Weather {
+		if w.Over(router.Name, r.Engine) {
+			out += w.within(from, to)
+		}
 	}
 	return out
 }
 
-// effects: no more dispatches than a batch may have, and none that could have an effect twice.
+func (s Still) within(from, to time.Duration) time.Duration {
+	return max(min(to, s.To)-max(from, s.From), 0)
+}
+
+// unfair: something lay over the link between its router and its engine within a time. A cut holds back what was sent, be it a
+// batch or the word that gives one up, so then the order and the pace in which things came say nothing of the router.
+func (c *runsCheck) unfair(r standin.Run, from, to time.Duration) bool {
+	router := c.Routers[c.router(r)].Name
+	return slices.ContainsFunc(c.Weather, func(w Weather) bool {
+		return w.within(from, to) > 0 && (w.Over(router, r.Engine) || w.Over(r.Engine, router))
+	})
+}
+
+// late: it may have been sent long before it came.
+func (c *runsCheck) late(r standin.Run) bool { return c.unfair(r, c.at(r)-wayWithin, c.at(r)) }
+
+// effects: no more dispatches than a batch may have, and none that could have an effect twice; for once-only ones also when
+// their client, told that it was harmless, asked another router.
 func (c *runsCheck) effects() {
 	count, ran := map[string]int{}, map[string]standin.Run{}
 	for _, r := range c.runs {
@@ -55,57 +104,25 @@
 		if r.Act.Deed == standin.TurnAway {
 			continue
 		}
-		first, again := ran[r.ID]
+		origin := c.origin(r.ID)
+		first, again := ran[origin]
 		switch {
 		case !again:
-			ran[r.ID] = r
+			ran[origin] = r
 		case r.Group == "once":
-			c.found(2, r, "once-only %s ran twice", r.ID)
-		case r.Group == "upload" && r.Began.Sub(first.Began) > window+c.slack(c.at(first), c.at(r)):
+			c.found(2, r, "once-only %s ran twice, first as %s", r.ID, first.ID)
+		case r.Group == "upload" && r.Began.Sub(first.Began) > window+c.slack(r, c.at(first), c.at(r)):
 			c.found(2, r, "referenced %s came again after %.3f s, when engines had forgotten its mark", r.ID, r.Began.Sub(first.Began).Seconds())
 		}
 	}
 }
 
-// drained: nothing new comes to an engine that drains, past the grace.
+// drained: nothing new comes to an engine that drains, past the grace, from a router that was told.
 func (c *runsCheck) drained() {
 	for _, r := range c.runs {
-		if told := c.engines[r.Engine].Told; told > 0 && c.at(r) > told+drainGrace+c.slack(told, c.at(r)) {
-			c.found(3, r, "%s came to %s %.3f s after the router was told that it drains", r.ID, r.Engine, (c.at(r) - told).Seconds())
-		}
-	}
-}
-
-// cold: the work that comes to an engine within any fall time stays under what makes a cold one fall. What its pace is
-// between its start and warmth is not disclosed; a straight line is what this fleet does.
-func (c *runsCheck) cold() {
-	type sum struct {
-		runs []standin.Run
-		work time.Duration
-		over bool
-	}
-	sums := map[string]*sum{}
-	for _, r := range c.runs {
-		e := c.engines[r.Engine]
-		age := r.Began.Sub(e.Started)
-		if e.Started.IsZero() || age > coldTime {
-			continue
-		}
-		s := sums[r.Engine]
-		if s == nil {
-			s = &sum{}
-			sums[r.Engine] = s
-		}
-		s.runs, s.work = append(s.runs, r), s.work+r.Act.After
-		for s.runs[0].Began.Add(fallTime).Before(r.Began) {
-			s.work -= s.runs[0].Act.After
-			s.runs = s.runs[1:]
-		}
-		pace := coldFrom + (1-coldFrom)*max(age, 0).Seconds()/coldTime.Seconds()
-		if bears := fallMultiple * pace * cores * fallTime.Seconds(); s.work.Seconds() > coldSlack*bears && !s.over {
-			s.over = true
-			c.found(4, r, "%s, started %.3f s before, was sent %.1f s of work within %s, and bears %.1f", r.Engine, age.Seconds(),
-				s.work.Seconds(), fallTime, bears)
+		router := c.Routers[c.router(r)]
+		if told := router.Told[r.Engine]; told > 0 && c.at(r) > told+drainGrace+c.slack(r, told, c.at(r)) {
+			c.found(3, r, "%s came to %s %.3f s after %s was told that it drains", r.ID, r.Engine, (c.at(r) - told).Seconds(), router.Name)
 		}
 	}
 }
@@ -119,17 +136,23 @@
 	return r.GivenUp
 }
 
-// keys run in order, one at a time, and rest after doubt; for half the time at least, as a stand-in may see late that a
-// connection has ended.
+// keys run in order, one at a time for each router, and rest after doubt; for half the time at least, as a stand-in may see
+// late that a connection has ended.
 func (c *runsCheck) keys() {
-	last := map[string]standin.Run{}
+	type line struct {
+		router int
+		key    string
+	}
+	last := map[line]standin.Run{}
 	for _, r := range c.runs {
 		if r.Key == "" || r.Act.Deed == standin.TurnAway || r.Repeat {
 			continue
 		}
-		before, is := last[r.Key]
-		last[r.Key] = r
-		if !is || before.ID == r.ID || c.life(c.at(before)) != c.life(c.at(r)) {
+		l := line{c.router(r), r.Key}
+		before, is := last[l]
+		last[l] = r
+		if !is || before.ID == r.ID || c.life(l.router, c.at(before)) != c.life(l.router, c.at(r)) || c.late(r) ||
+			c.unfair(before, c.at(before)-wayWithin, c.at(r)) {
 			continue
 		}
 		switch {
@@ -144,40 +167,8 @@
 // placed: reports run in the first zone only.
 func (c *runsCheck) placed() {
 	for _, r := range c.runs {
-		if zone := c.engines[r.Engine].Zone; r.Group == "report" && zone != zones[0] {
+		if zone := c.Engines[r.Engine].Zone; r.Group == "report" && zone != zones[0] {
 			c.found(6, r, "report %s came to %s, which is in zone %q", r.ID, r.Engine, zone)
 		}
 	}
 }
-
-// budget: further dispatches within the look-back stay under what is free and a share of the batches taken in that time.
-// The router counts at its own times, so batches of a standstill before count here too.
-func (c *runsCheck) budget() {
-	taken := make([][]time.Duration, len(c.lives))
-	for _, b := range c.batches {
-		taken[b.Life] = append(taken[b.Life], b.Wrote)
-	}
-	further := make([][]time.Duration, len(c.lives))
-	seen, over := map[string]bool{}, make([]bool, len(c.lives))
-	for _, r := range c.runs {
-		if !seen[r.ID] {
-			seen[r.ID] = true
-			continue
-		}
-		at, n := c.at(r), c.life(c.at(r))
-		further[n] = append(further[n], at)
-		for further[n][0] <= at-lookBack {
-			further[n] = further[n][1:]
-		}
-		may := freeFurther
-		for _, t := range taken[n] {
-			if t > at-lookBack-2*standstill && t <= at {
-				may += furtherShare
-			}
-		}
-		if got := float64(len(further[n])); got > may+1 && !over[n] {
-			over[n] = true
-			c.found(7, r, "%.0f further dispatches within %s, and %.1f are allowed", got, lookBack, may)
-		}
-	}
-}
--- a/internal/torture/torture_test.go
+++ b/internal/torture/torture_test.go
@@ -43,10 +43,25 @@
 	}
 }
 
+// Three routers before the same engines, with links that are cut, processes killed and stopped by the several.
+func TestAHandfulOfSeedsOfAFleetBreaksNoRule(t *testing.T) {
+	for seed := uint64(1); seed <= 4; seed++ {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			r, err := Run(Options{Program: program, Seed: seed, Long: 5 * time.Second, Clients: 12, Routers: 3, Folder: t.TempDir()})
+			require.NoError(t, err)
+			for _, f := range r.Findings {
+				t.Error(f, r.Said(f))
+			}
+			assert.Greater(t, len(r.Batches), 200)
+			t.Log(r.Counts(), r.Steps)
+		})
+	}
+}
+
 func TestTheSameSeedDrawsTheSameScript(t *testing.T) {
-	assert.Equal(t, Script(7, 10*time.Second), Script(7, 10*time.Second))
-	assert.NotEqual(t, Script(7, 10*time.Second), Script(8, 10*time.Second))
-	for _, s := range Script(9, 30*time.Second) {
+	assert.Equal(t, Script(7, 10*time.Second, 1), Script(7, 10*time.Second, 1))
+	assert.NotEqual(t, Script(7, 10*time.Second, 1), Script(8, 10*time.Second, 1))
+	for _, s := range Script(9, 30*time.Second, 1) {
 		assert.NotContains(t, []Fault{Freeze, Kill, Restart}, s.Fault, "every third seed reloads only")
 	}
 }
@@ -55,7 +70,7 @@
 func TestTheCheckerFindsWhatIsWrong(t *testing.T) {
 	second := time.Second
 	began := time.Now()
-	fleet := map[string]Engine{"": {Zone: zones[0]}, "drains": {Zone: zones[0], Told: second}, "cold": {Zone: zones[1], Started: began}}
+	fleet := map[string]Engine{"": {Zone: zones[0]}, "drains": {Zone: zones[0]}, "cold": {Zone: zones[1], Started: began}}
 	lives := []Life{{Began: 0, Term: 20 * second, Ended: 21 * second, Exit: "exit status 0"}}
 	good := func() *Batch {
 		return &Batch{ID: "a", Group: "lookup", Rows: 1, Wrote: second, Due: 5 * second,
@@ -68,10 +83,14 @@
 	work := func(long time.Duration, r standin.Run) standin.Run { r.Act.After = long; return r }
 	var many []standin.Run
 	for i := range 30 {
-		many = append(many, run(fmt.Sprint("m", i/2), "lookup", "", 2*second, 3*second))
+		many = append(many, run(fmt.Sprint("m", i/2), "lookup", "", 2*second+time.Duration(i), 3*second))
 	}
 	one := []standin.Run{run("a", "lookup", "", second, 2*second)}
-	assert.Empty(t, Check([]*Batch{good()}, lives, one, fleet, nil, began))
+	told := map[string]time.Duration{"drains": second}
+	check := func(lives []Life, runs []standin.Run, batches ...*Batch) []Finding {
+		return Check(&Result{Batches: batches, Routers: []Router{{Name: "r0", Lives: lives, Told: told}}, Runs: runs, Engines: fleet, Began: began})
+	}
+	assert.Empty(t, check(lives, one, good()))
 	for name, c := range map[string]struct {
 		rule  int
 		edit  func(b *Batch)
@@ -107,7 +126,7 @@
 		if c.lives != nil {
 			l = c.lives
 		}
-		found := Check([]*Batch{b}, l, append(one, c.runs...), fleet, nil, began)
+		found := check(l, append(one, c.runs...), b)
 		if assert.Len(t, found, 1, name) {
 			assert.Equal(t, c.rule, found[0].Rule, "%s: %s", name, found[0])
 		}
@@ -115,7 +134,7 @@
 	old, fresh := good(), good()
 	old.Answers, old.Ended, old.End = nil, 3*second, "EOF"
 	fresh.Answers, fresh.Wrote, fresh.Ended = nil, 3*second-20*time.Millisecond, 3*second
-	assert.Len(t, Check([]*Batch{old, fresh}, lives, one, fleet, nil, began), 2, "a close that ends an older one crosses nothing")
+	assert.Len(t, check(lives, one, old, fresh), 2, "a close that ends an older one crosses nothing")
 	for name, edit := range map[string]func(b *Batch, l *Life){
 		"its client left":           func(b *Batch, _ *Life) { b.Left = 2 * second },
 		"its router was killed":     func(_ *Batch, l *Life) { l.Killed = 3 * second },
@@ -125,7 +144,7 @@
 		b, l := good(), lives[0]
 		b.Answers = nil
 		edit(b, &l)
-		assert.Empty(t, Check([]*Batch{b}, []Life{l}, one, fleet, nil, began), name)
+		assert.Empty(t, check([]Life{l}, one, b), name)
 	}
 }
 
--- a/internal/torture/world.go
+++ b/internal/torture/world.go
@@ -2,12 +2,9 @@
 
 import (
 	"fmt"
-	"os"
-	"path/filepath"
 	"slices"
 	"time"
 
-	"pitchfield/internal/rig"
 	"pitchfield/internal/standin"
 )
 
@@ -41,7 +38,7 @@
 "retry-after":true,"max-retry-after-ms":500},"prices":{"probe":0.01},
 "rules":{"settle-after-doubt-ms":%d,"stop-sending-within-ms":%d,"cold-from":%g,"cold-ms":%d,"fall-multiple":%g,"fall-ms":%d,
 "extra-free":%g,"further-ratio":%g,"look-back-ms":%d},
-"feedback":{"how":"probe","names":["waiting","x0","x1"]},"balancers":1,"index":0,"tick-ms":5}`,
+"feedback":{"how":"probe","names":["waiting","x0","x1"]},"balancers":%%d,"index":%%d,"tick-ms":5}`,
 	window.Milliseconds(), cores, mostRuns, settleTime.Milliseconds(), drainGrace.Milliseconds(), coldFrom, coldTime.Milliseconds(),
 	fallMultiple, fallTime.Milliseconds(), freeFurther, furtherShare, lookBack.Milliseconds())
 
@@ -55,11 +52,10 @@
 // Engine is what the list says of one that has been there.
 type Engine struct {
 	Name, Zone string
-	Started    time.Time     // zero: long before the play
-	Told       time.Duration // when a router was first told that it drains; 0: never
+	Started    time.Time // zero: long before the play
 }
 
-// addEngine starts one; late: within the play, so that it is cold.
+// addEngine starts one; late: within the play, so that it is cold. The fleet is locked.
 func (p *play) addEngine(zone string, late bool) error {
 	p.made++
 	e := &member{Engine: Engine{Name: fmt.Sprintf("e-%d", p.made), Zone: zone}}
@@ -75,42 +71,55 @@
 	return nil
 }
 
-// list tells the name service of all engines.
-func (p *play) list() {
-	var hosts []standin.Host
-	for _, e := range p.engines {
-		h := e.Host()
-		h.Zone, h.Draining = e.Zone, e.drains > 0
-		if !e.Started.IsZero() {
-			h.Started = e.Started.UnixMilli()
+// list tells each router's name service of all engines. The fleet is locked.
+func (p *play) list() error {
+	for _, r := range p.everyone() {
+		var hosts []standin.Host
+		for _, e := range p.engines {
+			h := e.Host()
+			h.Zone, h.Draining = e.Zone, e.drains > 0
+			if !e.Started.IsZero() {
+				h.Started = e.Started.UnixMilli()
+			}
+			var err error
+			if h.Address, err = r.wayTo(e, h.Address); err != nil {
+				return err
+			}
+			hosts = append(hosts, h)
 		}
-		hosts = append(hosts, h)
+		r.names.Set(hosts...)
 	}
-	p.names.Set(hosts...)
+	return nil
 }
 
-// swap ends an engine and puts another in its place, at another address.
+// swap ends an engine and puts another in its place, at another address. The fleet is locked.
 func (p *play) swap(old *member) error {
 	i := slices.Index(p.engines, old)
+	if i < 0 {
+		return nil
+	}
 	p.engines = slices.Delete(p.engines, i, i+1)
 	err := p.addEngine(old.Zone, true)
-	p.list()
+	if err == nil {
+		err = p.list()
+	}
 	old.Stop()
 	return err
 }
 
-// drain has one engine drain, while another of its zone stays. It ends later, and a new one takes its place.
-func (p *play) drain(e *member) {
+// drain has one engine drain, while another of its zone stays. It ends later, and a new one takes its place. The fleet is
+// locked.
+func (p *play) drain(e *member) error {
 	for _, other := range p.engines {
 		if other != e && other.Zone == e.Zone && other.drains == 0 && e.drains == 0 {
 			e.drains = p.since() + drainLong
-			p.list()
-			return
+			return p.list()
 		}
 	}
+	return nil
 }
 
-// drained replaces what has drained for long enough.
+// drained replaces what has drained for long enough. The fleet is locked.
 func (p *play) drained() error {
 	for _, e := range slices.Clone(p.engines) {
 		if e.drains > 0 && p.since() > e.drains {
@@ -125,47 +134,8 @@
 // fleet is what the checker is told of all engines that were there.
 func (p *play) fleet() map[string]Engine {
 	out := map[string]Engine{}
-	told := p.names.Drains()
 	for _, e := range p.were {
-		if at, is := told[e.Engine.Name]; is {
-			e.Told = at.Sub(p.began)
-		}
 		out[e.Engine.Name] = e.Engine
 	}
 	return out
 }
-
-// configure writes what the router is told; the change of the file is whole or not at all, as an operator's would be.
-func (p *play) configure() error {
-	text, err := rig.Configuration(settings, p.address, fmt.Sprintf("%016x", p.Seed), p.limits[0], p.limits[1], p.names)
-	if err == nil {
-		if err = os.WriteFile(p.config+".new", text, 0o600); err == nil {
-			err = os.Rename(p.config+".new", p.config)
-		}
-	}
-	if err != nil {
-		return fmt.Errorf("torture: %w", err)
-	}
-	return nil
-}
-
-// moveNames puts the name service at another address and tells the router by SIGHUP. The old one falls silent.
-func (p *play) moveNames() error {
-	names, err := standin.NewNames(p.host + ":0")
-	if err != nil {
-		return err
-	}
-	old := p.names
-	old.Close() // before its numbers go over: what it says later is not known here
-	names.From(old)
-	p.names = names
-	if err := p.configure(); err != nil {
-		return err
-	}
-	p.hangup()
-	return nil
-}
-
-func (p *play) logFile() string {
-	return filepath.Join(p.Folder, fmt.Sprintf("log-%d.json", p.Seed))
-}
