Routers talk where settings have [fleet]: one datagram socket on the loop, pitchfield members

Change: the reducer holds the machine, the loop one UDP listener among its own and a table of other ways (via), internal/fleet declares and proves its section, GET /members and pitchfield members show view, certainty, who differs and what was dropped. The torture rig links each pair of routers and holds them to agree after the last fault and after a death.

--- a/cmd/pitchfield/words.go
+++ b/cmd/pitchfield/words.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"os"
@@ -149,6 +150,26 @@
 		}}
 }
 
+// membersCommand asks a router what it knows of its fleet.
+func membersCommand() *cobra.Command {
+	var asJSON bool
+	c := &cobra.Command{Use: "members ADDRESS", Short: "Print whom a router of a fleet knows, how sure it is, and who differs",
+		Args: cobra.ExactArgs(1), RunE: func(c *cobra.Command, args []string) error {
+			m, err := serve.AskMembers(c.Context(), args[0])
+			if err != nil {
+				return err
+			}
+			if asJSON {
+				out := json.NewEncoder(c.OutOrStdout())
+				out.SetIndent("", "  ")
+				return out.Encode(m)
+			}
+			return m.Print(c.OutOrStdout())
+		}}
+	c.Flags().BoolVar(&asJSON, "json", false, "as JSON")
+	return c
+}
+
 // experimentCommand plays a matrix of days in the emulator.
 func experimentCommand() *cobra.Command {
 	var out, against string
--- a/internal/emulator/engine.go
+++ b/internal/emulator/engine.go
@@ -135,7 +135,8 @@
 	e.work()
 	r := &run{batch: b, conn: c, threads: b.group.Threads, need: b.need, began: s.now}
 	r.whole = b.work
-	if !slices.Contains(e.warm, b.data) {
+	if s.result.begun++; !slices.Contains(e.warm, b.data) {
+		s.result.notWarm++
 		r.whole *= s.world.Engine.ColdCost
 	}
 	e.warm = append(slices.DeleteFunc(e.warm, func(d int) bool { return d == b.data }), b.data)
--- a/internal/emulator/result.go
+++ b/internal/emulator/result.go
@@ -42,10 +42,12 @@
 	Wasted     float64         // work that engines did for nobody, of all that they did
 	Copies     int             // dispatches beside one that was out
 	Cold       float64         // work that came to a cold engine within a fall time, of what it bears then, at the most
+	NotWarm    float64         // share of the dispatches whose data set their engine had to read
 	Recovery   float64         // seconds from the end of the last trouble until service is what it was before the first; -1: never, or no trouble ends
 
 	times           map[string]*hdrhistogram.Histogram // microseconds
 	worked, wasted  float64
+	begun, notWarm  float64
 	utility, inGoal map[string]float64
 	turns           map[int][]float64
 	levels          map[int]string
@@ -197,6 +199,7 @@
 		r.Tails[name] = Tail{at(50), at(99), at(99.9)}
 	}
 	r.Wasted = r.wasted / max(r.worked, 1e-9)
+	r.NotWarm = r.notWarm / max(r.begun, 1)
 	r.recover(s.day)
 	for rule := 1; rule <= 7; rule++ {
 		if n := s.check.broken[rule]; n > 0 {
--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -263,7 +263,7 @@
 }
 
 // header of the CSV; columns are found by name.
-var header = []string{"world", "day", "variant", "seed", "service", "asked", "returned", "pushed back", "errored", "turns", "most turns", "away", "amplified", "wasted", "copies", "recovery", "rules broken"}
+var header = []string{"world", "day", "variant", "seed", "service", "asked", "returned", "pushed back", "errored", "turns", "most turns", "away", "amplified", "wasted", "copies", "recovery", "rules broken", "cold most", "not warm"}
 
 // WriteCSV writes a line for each run, and a column for each group.
 func WriteCSV(out io.Writer, runs []Run) error {
@@ -288,7 +288,7 @@
 		f := func(v float64) string { return strconv.FormatFloat(v, 'f', 6, 64) }
 		row := []string{r.World, r.Day, r.Variant, strconv.FormatUint(r.Seed, 10), f(r.Service), strconv.Itoa(r.Asked), strconv.Itoa(r.Returned),
 			strconv.Itoa(r.PushedBack), strconv.Itoa(r.Errored), strconv.Itoa(r.Turns), strconv.Itoa(r.MostTurns), f(r.Away), f(r.Amplified),
-			f(r.Wasted), strconv.Itoa(r.Copies), f(r.Recovery), strings.Join(r.Broken, "; ")}
+			f(r.Wasted), strconv.Itoa(r.Copies), f(r.Recovery), strings.Join(r.Broken, "; "), f(r.Cold), f(r.NotWarm)}
 		for _, g := range names {
 			row = append(row, f(r.Groups[g]), f(r.Tails[g].P50), f(r.Tails[g].P99), f(r.Tails[g].P999))
 		}
@@ -337,6 +337,8 @@
 	Amplified           float64 // the most of any run
 	Wasted              float64
 	Copies              float64
+	Cold                float64                  // the most of any run, and
+	NotWarm             float64                  // the mean
 	Recovery            float64                  // the longest; -1: some never did, or nothing was to recover from
 	Tails               map[string]emulator.Tail // mean of the runs
 	Broken              []string
@@ -363,6 +365,7 @@
 			n := float64(len(list))
 			s.Away += r.Away / n
 			s.Wasted, s.Copies = s.Wasted+r.Wasted/n, s.Copies+float64(r.Copies)/n
+			s.Cold, s.NotWarm = max(s.Cold, r.Cold), s.NotWarm+r.NotWarm/n
 			if s.Recovery >= 0 && r.Recovery >= 0 {
 				s.Recovery = max(s.Recovery, r.Recovery)
 			} else {
@@ -404,7 +407,7 @@
 // Table writes a line for each cell. It tells whether a rule was broken.
 func Table(out io.Writer, list []Summary) (broken bool, err error) {
 	t := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(t, "world\tday\tvariant\truns\tservice\t+-\tworst tenth\tturns/min\taway\tamplified\twasted\tcopies\trecovery\trules broken")
+	fmt.Fprintln(t, "world\tday\tvariant\truns\tservice\t+-\tworst tenth\tturns/min\taway\tamplified\twasted\tcopies\trecovery\tcold most\tnot warm\trules broken")
 	for _, s := range list {
 		rules := "none"
 		if len(s.Broken) > 0 {
@@ -414,8 +417,8 @@
 		if s.Recovery >= 0 {
 			recovery = fmt.Sprintf("%.0fs", s.Recovery)
 		}
-		fmt.Fprintf(t, "%s\t%s\t%s\t%d\t%.3f\t%s\t%.3f\t%d\t%.2f\t%.2f\t%.3f\t%.0f\t%s\t%s\n", s.World, s.Day, s.Variant, s.Runs, s.Mean, half(s.Half),
-			s.WorstTenth, s.MostTurns, s.Away, s.Amplified, s.Wasted, s.Copies, recovery, rules)
+		fmt.Fprintf(t, "%s\t%s\t%s\t%d\t%.3f\t%s\t%.3f\t%d\t%.2f\t%.2f\t%.3f\t%.0f\t%s\t%.2f\t%.2f\t%s\n", s.World, s.Day, s.Variant, s.Runs, s.Mean, half(s.Half),
+			s.WorstTenth, s.MostTurns, s.Away, s.Amplified, s.Wasted, s.Copies, recovery, s.Cold, s.NotWarm, rules)
 	}
 	return broken, t.Flush()
 }
--- a/internal/installation/installation.go
+++ b/internal/installation/installation.go
@@ -18,6 +18,7 @@
 	"pitchfield/brain"
 	"pitchfield/internal/assign"
 	"pitchfield/internal/directory"
+	"pitchfield/internal/fleet"
 	"pitchfield/internal/levels"
 	"pitchfield/internal/limits"
 	"pitchfield/internal/settings"
@@ -32,6 +33,7 @@
 	Limits  limits.Set       // all that is told of limits
 	Status  string           // where the status page listens; empty: nowhere
 	Levels  *levels.Settings // of reduced service; nil: none
+	Fleet   *fleet.Settings  // other routers; nil: there is no talk
 	// LevelsOver is the time in seconds over which what levels are entered by fades.
 	LevelsOver float64
 
@@ -157,6 +159,7 @@
 	Status *struct {
 		Listen string `toml:"listen"`
 	} `toml:"status"`
+	Fleet  *fleet.Section `toml:"fleet"`
 	Levels *struct {
 		Over      string   `toml:"over"`
 		Steps     int      `toml:"steps"`
@@ -308,6 +311,9 @@
 			c.found("status.listen", "%q is not an address and a port, as 127.0.0.1:7480", out.Status)
 		}
 	}
+	if f.Fleet != nil {
+		out.Fleet = f.Fleet.Settings(&c)
+	}
 	c.levels(&f, out)
 	c.routes(&f, out)
 	for _, found := range limits.Check(out.Limits, limits.Platform{}) {
@@ -607,6 +613,12 @@
 	c.errs = append(c.errs, fmt.Errorf("%s: %s: %s", c.source.where(c.line(key)), key, fmt.Sprintf(format, args...)))
 }
 
+// Found is for sections that prove themselves.
+func (c *checker) Found(key, format string, args ...any) { c.found(key, format, args...) }
+
+// Seconds likewise: 0 where nothing is told.
+func (c *checker) Seconds(key, text string, most float64) float64 { return c.seconds(key, text, most) }
+
 // line is where a key stands, or the nearest table around it.
 func (c *checker) line(key string) (line int) {
 	for line == 0 && key != "" {
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -67,6 +67,7 @@
 	Levels    *router.LevelsSet   // of reduced service; nil: off
 	Routes    *router.RoutesSet   // limits of routes; nil: none
 	Status    func(router.Status) // is told how the router stands, where levels are on
+	Talk      *Talk               // with other routers; nil: none
 }
 
 // Reload is what takes the place of what was told before.
@@ -123,6 +124,7 @@
 	levels    *router.LevelsSet                  // to be told once the loop is there
 	routes    *router.RoutesSet
 	status    func(router.Status)
+	talk      *talker       // nil: there is no talk
 	watching  bool          // slow clients
 	verifying chan struct{} // as many as run at a time
 
@@ -148,6 +150,10 @@
 		l.listeners[one.Address] = one.Speaks
 		addresses = append(addresses, "tcp://"+one.Address)
 	}
+	if w.Talk != nil {
+		l.talk = newTalker(w.Talk)
+		addresses = append(addresses, "udp://"+w.Talk.Settings.Listen)
+	}
 	stop := context.AfterFunc(ctx, l.stop)
 	defer stop()
 	go l.reload(ctx, reloads)
@@ -272,6 +278,7 @@
 			l.post(*l.routes)
 			l.routes = nil
 		}
+		l.beginTalk()
 		l.post(router.TurnEnded{})
 	case toEngine:
 		p.opening = true
@@ -371,6 +378,10 @@
 func (l *Loop) OnTraffic(c gnet.Conn) gnet.Action {
 	p, ok := c.Context().(*peer)
 	if !ok {
+		if l.talk != nil {
+			l.talkCame(c)
+			return gnet.None
+		}
 		return gnet.Close
 	}
 	data, err := c.Next(-1)
@@ -581,6 +592,10 @@
 		if l.status != nil {
 			l.status(e.Status)
 		}
+	case router.Talk:
+		l.say(e)
+	case router.TellMembers:
+		l.tellMembers(e.Members)
 	case router.Log:
 		l.print(e)
 	case router.Exit:
--- /dev/null
+++ b/internal/loop/talk.go
@@ -0,0 +1,150 @@
+package loop
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"syscall"
+	"time"
+
+	"github.com/panjf2000/gnet/v2"
+	"go.uber.org/zap"
+
+	"pitchfield/internal/membership"
+	"pitchfield/internal/router"
+	"pitchfield/internal/talk"
+)
+
+// Talk is what the loop is told of the other routers. One datagram socket on the one loop serves all of it.
+type Talk struct {
+	Fleet    string
+	Settings membership.Settings
+	Networks []netip.Prefix                    // who may talk
+	Via      map[netip.AddrPort]netip.AddrPort // by which address one is reached, where it is not the one it tells
+	Members  func(router.Members, Talked)      // is told how the fleet stands; nil: nobody asks
+}
+
+// Talked counts datagrams and bytes since the start.
+type Talked struct {
+	In, Out, BytesIn, BytesOut int
+	Strangers                  int // from outside of the networks
+	OtherFleets                int
+	Unreadable                 int // too long, cut, or of no such form
+	Unsent                     int // the socket's queue was full, or nobody can be there
+}
+
+type talker struct {
+	Talk
+	fd     int // of the listener, to send by; 0: none
+	begun  bool
+	talked Talked
+	told   time.Time // when a line last said that something was dropped
+}
+
+func newTalker(t *Talk) *talker { return &talker{Talk: *t} }
+
+const tellDropped = 10 * time.Second // at most so often a line says what was dropped
+
+// beginTalk begins once the loop is there; whoever comes later finds it begun.
+func (l *Loop) beginTalk() {
+	t := l.talk
+	if t == nil || t.begun {
+		return
+	}
+	t.begun = true
+	fd, err := l.engine.DupListener("udp", t.Settings.Listen)
+	if err != nil {
+		l.log.Error("no talk", zap.Error(err))
+		return
+	}
+	t.fd = fd
+	l.post(router.TalkSet{Settings: t.Settings})
+}
+
+// talkCame takes a datagram in. It is checked whole; what is dropped is counted.
+func (l *Loop) talkCame(c gnet.Conn) {
+	t := l.talk
+	data, err := c.Next(-1)
+	if err != nil || len(data) == 0 {
+		return
+	}
+	t.talked.In++
+	t.talked.BytesIn += len(data)
+	from, err := netip.ParseAddrPort(c.RemoteAddr().String())
+	if err != nil || !t.mayTalk(from.Addr().Unmap()) {
+		t.talked.Strangers++
+		l.dropped("a stranger", c, nil)
+		return
+	}
+	message, err := talk.Decode(t.Fleet, data)
+	switch {
+	case errors.Is(err, talk.ErrFleet):
+		t.talked.OtherFleets++
+		l.dropped("another fleet's", c, err)
+	case err != nil:
+		t.talked.Unreadable++
+		l.dropped("can't be read", c, err)
+	default:
+		l.post(router.TalkCame{Message: message})
+	}
+}
+
+func (t *talker) mayTalk(from netip.Addr) bool {
+	for _, n := range t.Networks {
+		if n.Contains(from) {
+			return true
+		}
+	}
+	return false
+}
+
+func (l *Loop) dropped(why string, c gnet.Conn, err error) {
+	if time.Since(l.talk.told) < tellDropped {
+		return
+	}
+	l.talk.told = time.Now()
+	l.log.Warn("datagram dropped", zap.String("why", why), zap.Stringer("from", c.RemoteAddr()), zap.Error(err),
+		zap.Int("strangers", l.talk.talked.Strangers), zap.Int("other fleets", l.talk.talked.OtherFleets), zap.Int("unreadable", l.talk.talked.Unreadable))
+}
+
+// say sends a datagram. One that can't be sent at once is lost: whoever waits for it asks again.
+func (l *Loop) say(e router.Talk) {
+	t := l.talk
+	data, err := talk.Encode(t.Fleet, &e.Message)
+	if err == nil {
+		err = t.send(e.To, data)
+	}
+	if err != nil {
+		t.talked.Unsent++
+		l.log.Debug("talk", zap.String("to", e.To), zap.Error(err))
+		return
+	}
+	t.talked.Out++
+	t.talked.BytesOut += len(data)
+}
+
+func (t *talker) send(address string, data []byte) error {
+	to, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return fmt.Errorf("talk: %w", err)
+	}
+	if by, is := t.Via[to]; is {
+		to = by
+	}
+	var where syscall.Sockaddr
+	if ip := to.Addr().Unmap(); ip.Is4() {
+		where = &syscall.SockaddrInet4{Port: int(to.Port()), Addr: ip.As4()}
+	} else {
+		where = &syscall.SockaddrInet6{Port: int(to.Port()), Addr: ip.As16()}
+	}
+	if err := syscall.Sendto(t.fd, data, syscall.MSG_DONTWAIT, where); err != nil {
+		return fmt.Errorf("talk: %w", err)
+	}
+	return nil
+}
+
+func (l *Loop) tellMembers(m router.Members) {
+	if l.talk.Members != nil {
+		l.talk.Members(m, l.talk.talked)
+	}
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -49,6 +49,22 @@
 	Weather Weather
 }
 
+// Address is where a party is, as host and port; it is one of the network's addresses.
+type Address string
+
+// Network is UDP.
+func (Address) Network() string { return "udp" }
+
+func (a Address) String() string { return string(a) }
+
+// resolved is what can be written to.
+func resolved(a net.Addr) (net.Addr, error) {
+	if text, is := a.(Address); is {
+		return net.ResolveUDPAddr("udp", string(text))
+	}
+	return a, nil
+}
+
 // Fabric is a set of links and the weather over them. All links end with Close.
 type Fabric struct {
 	seed uint64
@@ -175,6 +191,12 @@
 
 // Datagrams makes a link on free ports of an address.
 func (f *Fabric) Datagrams(host, a, b string, addressA, addressB net.Addr) (*Datagrams, error) {
+	for _, one := range []*net.Addr{&addressA, &addressB} {
+		var err error
+		if *one, err = resolved(*one); err != nil {
+			return nil, fmt.Errorf("relay: %w", err)
+		}
+	}
 	open := func() (net.PacketConn, error) { return net.ListenPacket("udp", host+":0") }
 	toB, err := open()
 	if err != nil {
--- a/internal/router/events.go
+++ b/internal/router/events.go
@@ -6,6 +6,7 @@
 	"pitchfield/internal/directory"
 	"pitchfield/internal/levels"
 	"pitchfield/internal/limits"
+	"pitchfield/internal/membership"
 	"pitchfield/internal/traffic"
 )
 
@@ -55,6 +56,10 @@
 		All      *limits.Budget          // of further dispatches of all batches, and
 		Engine   *limits.Budget          // to each engine; nil: none
 	}
+	TalkSet  struct{ Settings membership.Settings } // other routers may be talked to
+	TalkCame struct {                               // one of this fleet has said something; it has been checked whole
+		Message *membership.Message
+	}
 	LevelsSet struct { // the levels of reduced service that there are from now on
 		Levels levels.Settings
 		Over   float64 // seconds over which measures fade
@@ -77,6 +82,8 @@
 func (Reloaded) event()     {}
 func (LevelsSet) event()    {}
 func (RoutesSet) event()    {}
+func (TalkSet) event()      {}
+func (TalkCame) event()     {}
 
 // Effect is one thing that the router asks for, in its order. Rows and chains in it are the doer's from then on, but
 // for the text of a dispatch, which is good until its Release.
@@ -116,7 +123,12 @@
 	Bound    struct{ MemoryMB, Descriptors int } // the limits that now hold
 	SetTimer struct{ At float64 }                // in place of the one before
 	Tell     struct{ Status Status }             // how it stands, for whoever asks
-	Log      struct {
+	Talk     struct {                            // a datagram to another router
+		To      string
+		Message membership.Message
+	}
+	TellMembers struct{ Members Members } // how the fleet stands, for whoever asks
+	Log         struct {
 		Level  Level
 		Text   string
 		Fields []any // names and values in turn
@@ -147,4 +159,6 @@
 func (SetTimer) effect()    {}
 func (Tell) effect()        {}
 func (Log) effect()         {}
+func (Talk) effect()        {}
+func (TellMembers) effect() {}
 func (Exit) effect()        {}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -76,6 +76,8 @@
 	adaptive       limits.AdaptiveSettings
 	ofAll, further *limits.Budget // of further dispatches: of all batches, and to each engine
 
+	members *members // of its fleet; nil: there is no talk
+
 	stopAt, killAt float64 // 0: not stopping
 	exited         bool
 }
@@ -210,6 +212,10 @@
 		r.setRoutes(e)
 	case LevelsSet:
 		r.setLevels(e)
+	case TalkSet:
+		r.setTalk(e)
+	case TalkCame:
+		r.talkCame(e.Message)
 	case TimerFired:
 		if late := r.now - r.timerAt; late > lateTimer {
 			r.log(Warn, "woken late", "by", late)
@@ -298,6 +304,10 @@
 		r.lookAtClients()
 	case levelCheck:
 		r.lookAtLevel()
+	case membersDue:
+		r.membersDue()
+	case membersTold:
+		r.tellMembers()
 	case stopCheck:
 	}
 }
--- a/internal/router/stop.go
+++ b/internal/router/stop.go
@@ -50,5 +50,6 @@
 	}
 	r.exited = true
 	r.log(Info, "stopped", "unanswered", waiting)
+	r.leaveFleet()
 	r.do(Exit{})
 }
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -23,8 +23,10 @@
 	"pitchfield/internal/config"
 	"pitchfield/internal/directory"
 	"pitchfield/internal/engines"
+	"pitchfield/internal/fleet"
 	"pitchfield/internal/installation"
 	"pitchfield/internal/loop"
+	"pitchfield/internal/membership"
 	"pitchfield/internal/router"
 	"pitchfield/internal/tds"
 	"pitchfield/internal/traffic"
@@ -74,6 +76,9 @@
 	}
 	w.Speaks = speaks(t.Own, pool)
 	w.Levels, w.Routes = levelsOf(t.Own), routesOf(t.Own)
+	if t.Own != nil && t.Own.Fleet != nil {
+		w.Talk = talkOf(t.Config.Name, t.Own.Fleet)
+	}
 	inForce := func(Told) {}
 	if t.Own != nil && t.Own.Status != "" {
 		page, err := newStatusPage(ctx, t.Own.Status, log)
@@ -83,6 +88,9 @@
 		defer page.stop()
 		page.force(t)
 		w.Status, inForce = page.set, page.force
+		if w.Talk != nil {
+			w.Talk.Members = page.setMembers
+		}
 	}
 	configs := make(chan loop.Reload)
 	go func() {
@@ -124,6 +132,14 @@
 	return &router.LevelsSet{Levels: *own.Levels, Over: own.LevelsOver}
 }
 
+// talkOf gives what the loop is told of other routers. A start is known by when it was, so that a newer one of the same name
+// is told from an older.
+func talkOf(name string, f *fleet.Settings) *loop.Talk {
+	s := f.Members
+	s.Self = membership.ID{Name: name, Start: uint64(time.Now().UnixMicro())}
+	return &loop.Talk{Fleet: f.Name, Settings: s, Networks: f.Networks, Via: f.Via}
+}
+
 // routesOf gives the routes that settings have. A file without any takes away those that were there.
 func routesOf(own *installation.Installation) *router.RoutesSet {
 	if own == nil {
--- a/internal/serve/status.go
+++ b/internal/serve/status.go
@@ -98,6 +98,7 @@
 type statusPage struct {
 	server  *http.Server
 	last    atomic.Pointer[Status]
+	members atomic.Pointer[Members]
 	inForce atomic.Pointer[InForce]
 }
 
@@ -126,6 +127,15 @@
 		w.Header().Set("Content-Type", "application/json")
 		json.NewEncoder(w).Encode(out) //nolint:errcheck // the client has left
 	})
+	mux.HandleFunc("GET /members", func(w http.ResponseWriter, _ *http.Request) {
+		m := p.members.Load()
+		if m == nil {
+			http.Error(w, "this router talks to no other; settings without [fleet] have none", http.StatusNotFound)
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		json.NewEncoder(w).Encode(m) //nolint:errcheck // the client has left
+	})
 	p.server = &http.Server{Handler: mux, ReadTimeout: statusWithin, WriteTimeout: statusWithin, MaxHeaderBytes: 4 << 10}
 	go func() {
 		if err := p.server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
@@ -152,23 +162,29 @@
 
 // AskStatus asks a router's status page.
 func AskStatus(ctx context.Context, address string) (*Status, error) {
+	var s Status
+	return &s, ask(ctx, address, "status", &s)
+}
+
+// ask gets a page of a router's as JSON.
+func ask(ctx context.Context, address, page string, into any) error {
 	ctx, cancel := context.WithTimeout(ctx, statusWithin)
 	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/status", nil)
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/"+page, nil)
 	if err != nil {
-		return nil, fmt.Errorf("status: %w", err)
+		return fmt.Errorf("%s: %w", page, err)
 	}
 	answer, err := http.DefaultClient.Do(r)
 	if err != nil {
-		return nil, fmt.Errorf("status: %w", err)
+		return fmt.Errorf("%s: %w", page, err)
 	}
 	defer answer.Body.Close()
 	if answer.StatusCode != http.StatusOK {
-		return nil, fmt.Errorf("status: %s says %s", address, answer.Status)
+		why, _ := io.ReadAll(io.LimitReader(answer.Body, 200))
+		return fmt.Errorf("%s: %s says %s: %s", page, address, answer.Status, strings.TrimSpace(string(why)))
 	}
-	var s Status
-	if err := json.NewDecoder(io.LimitReader(answer.Body, mostStatus)).Decode(&s); err != nil {
-		return nil, fmt.Errorf("status: %w", err)
+	if err := json.NewDecoder(io.LimitReader(answer.Body, mostStatus)).Decode(into); err != nil {
+		return fmt.Errorf("%s: %w", page, err)
 	}
-	return &s, nil
+	return nil
 }
--- a/internal/torture/cmd/main.go
+++ b/internal/torture/cmd/main.go
@@ -28,6 +28,7 @@
 	only         string
 	routers      int
 	older        string
+	talk         bool
 }
 
 func main() {
@@ -42,6 +43,7 @@
 	flag.StringVar(&o.only, "only", "", "of the defects, those whose name has this in it")
 	flag.IntVar(&o.routers, "routers", 1, "before the same engines")
 	flag.StringVar(&o.older, "older", "", "a commit whose program some of several routers run for a while")
+	flag.BoolVar(&o.talk, "talk", false, "several routers talk to each other")
 	measure := flag.Bool("measure", false, "no script: service and use of budgets by 2 to 12 routers, with none and half of them killed")
 	defects := flag.Bool("defects", false, "look for the defects of defects.toml")
 	flag.Parse()
@@ -147,7 +149,7 @@
 	var failure error
 	each(o.beside, int(o.seeds), func(i int) {
 		r, err := torture.Run(torture.Options{Program: program, Older: older, Seed: o.first + uint64(i), Long: o.long, Clients: o.clients, Folder: o.folder,
-			Routers: o.routers})
+			Routers: o.routers, Talk: o.talk})
 		mutex.Lock()
 		defer mutex.Unlock()
 		if err != nil {
@@ -214,7 +216,7 @@
 		}
 		for seed := o.first; seed < o.first+o.seeds && out.err == nil && out.finding == nil; seed++ {
 			r, err := torture.Run(torture.Options{Program: program, Seed: seed, Long: o.long, Clients: o.clients, Folder: folder,
-				Routers: routers})
+				Routers: routers, Talk: o.talk})
 			if out.err = err; err != nil {
 				break
 			}
--- a/internal/torture/fleet.go
+++ b/internal/torture/fleet.go
@@ -128,7 +128,12 @@
 	p.world.Lock()
 	r, err := p.newRouter(p.pick(s).index, p.Program)
 	if err == nil {
+		if p.Talk {
+			err = r.talkTo(p.routers)
+		}
 		p.twins = append(p.twins, r)
+	}
+	if err == nil {
 		err = p.list()
 	}
 	p.world.Unlock()
--- a/internal/torture/play.go
+++ b/internal/torture/play.go
@@ -28,6 +28,7 @@
 	Folder      string        // for configuration and log
 	Routers     int           // before the same engines; 0: one, without links that could be cut
 	Older       string        // another build of the program, which some of them run for a while; empty: the same one
+	Talk        bool          // routers talk to each other, through links of their own
 	Steps       []Step        // in place of those drawn by the seed
 }
 
@@ -159,7 +160,13 @@
 	p.faults.Wait()
 	clients.Wait()
 	p.retiring.Wait()
-	return p.close(steps), p.failure
+	if p.fabric != nil {
+		p.fabric.Heal()
+	}
+	disagreed := p.views()
+	r := p.close(steps)
+	r.Findings = append(r.Findings, disagreed...)
+	return r, p.failure
 }
 
 // open puts up engines and routers; those that a step brings later wait for it.
@@ -176,6 +183,11 @@
 		if err != nil {
 			return err
 		}
+		if p.Talk {
+			if err := r.talkTo(p.routers); err != nil {
+				return err
+			}
+		}
 		p.routers = append(p.routers, r)
 	}
 	if err := p.list(); err != nil {
@@ -198,9 +210,6 @@
 
 // close ends all in peace and looks at what has been.
 func (p *play) close(steps []Step) *Result {
-	if p.fabric != nil {
-		p.fabric.Heal()
-	}
 	var wait sync.WaitGroup
 	for _, r := range p.everyone() {
 		if r.down.Load() {
--- a/internal/torture/router.go
+++ b/internal/torture/router.go
@@ -28,6 +28,7 @@
 
 	names *standin.Names           // its own view of the list; the fleet's lock covers it
 	asks  string                   // where it finds them
+	via   map[string]string        // by which address it reaches another router that talks, by the one which that tells
 	ways  map[string]*relay.Stream // to engines, by name, where there is a fabric; the play's end closes them
 
 	busy     sync.Mutex // whoever lets something go wrong with the process has it to himself
@@ -52,7 +53,7 @@
 
 func (p *play) newRouter(index int, program string) (*router, error) {
 	r := &router{play: p, number: len(p.routers) + len(p.twins), index: index, name: fmt.Sprintf("n%d", index+1), program: program,
-		ways: map[string]*relay.Stream{}, limits: [2]int{p.MemoryMB, p.Descriptors}}
+		ways: map[string]*relay.Stream{}, via: map[string]string{}, limits: [2]int{p.MemoryMB, p.Descriptors}}
 	// A loopback address of the play's own keeps a port free between two starts of a router.
 	r.address = fmt.Sprintf("%s:%d", p.host, 7400+r.number)
 	r.config = filepath.Join(p.Folder, fmt.Sprintf("config-%d-%d.json", p.Seed, r.number))
@@ -148,7 +149,15 @@
 	if err := r.configure(); err != nil {
 		return err
 	}
-	c := exec.Command("/bin/sh", "-c", fmt.Sprintf(`ulimit -n %d && exec "$0"`, r.Descriptors), r.program)
+	words := []string{"-c", fmt.Sprintf(`ulimit -n %d && exec "$0" "$@"`, r.Descriptors), r.program}
+	if r.Talk {
+		path, err := r.tell()
+		if err != nil {
+			return err
+		}
+		words = append(words, "--settings", path)
+	}
+	c := exec.Command("/bin/sh", words...)
 	c.Env, c.Stderr = append(os.Environ(), "RELAY_CONFIG="+r.config), r.log
 	if err := c.Start(); err != nil {
 		return fmt.Errorf("torture: %w", err)
--- a/internal/torture/torture_test.go
+++ b/internal/torture/torture_test.go
@@ -58,6 +58,20 @@
 	}
 }
 
+// The same with talk: when nothing goes wrong any more they agree on who is there, and again after one has died.
+func TestRoutersThatTalkComeToAgree(t *testing.T) {
+	for seed := uint64(11); seed <= 13; seed++ {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			r, err := Run(Options{Program: program, Seed: seed, Long: 4 * time.Second, Clients: 8, Routers: 4, Talk: true, Folder: t.TempDir()})
+			require.NoError(t, err)
+			for _, f := range r.Findings {
+				t.Error(f, r.Said(f))
+			}
+			t.Log(r.Counts(), r.Steps)
+		})
+	}
+}
+
 func TestTheSameSeedDrawsTheSameScript(t *testing.T) {
 	assert.Equal(t, Script(7, 10*time.Second, 1), Script(7, 10*time.Second, 1))
 	assert.NotEqual(t, Script(7, 10*time.Second, 1), Script(8, 10*time.Second, 1))
