--- /dev/null
+++ b/internal/crowd/cmd/main.go
@@ -0,0 +1,119 @@
+// Command cmd measures membership in simulated time, on all cores:
+//
+//	go run ./internal/crowd/cmd                       # deaths: 5 to 1,000 routers, losses, slow ones
+//	go run ./internal/crowd/cmd -hours 10000          # false deaths over so many router-hours at 5% loss
+package main
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"runtime"
+	"slices"
+	"sync"
+	"text/tabwriter"
+
+	"pitchfield/internal/crowd"
+)
+
+type cell struct {
+	routers int
+	loss    float64
+	slow    float64
+	seeds   int
+}
+
+func main() {
+	seeds := flag.Int("seeds", 0, "of each cell; 0: as the table has them, 1,000 in all")
+	hours := flag.Float64("hours", 0, "router-hours of quiet at 5% loss, in place of the table")
+	cores := flag.Int("cores", runtime.NumCPU(), "to be used")
+	flag.Parse()
+	if *hours > 0 {
+		quiet(*hours, *cores)
+		return
+	}
+	table(*seeds, *cores)
+}
+
+// late is by how much a slow router takes longer for each packet and each waking: some ten times a usual turn of its loop.
+const late = 0.05
+
+func table(seeds, cores int) {
+	var cells []cell
+	for _, routers := range []int{5, 50, 300, 1000} {
+		n := map[int]int{5: 100, 50: 50, 300: 14, 1000: 3}[routers]
+		for _, loss := range []float64{0, 0.05, 0.2, 0.33} {
+			cells = append(cells, cell{routers, loss, 0, n})
+		}
+		cells = append(cells, cell{routers, 0, 0.1, n}, cell{routers, 0.05, 0.1, n})
+	}
+	results := make([][]crowd.Measure, len(cells))
+	var todo []func()
+	for i := range cells {
+		if seeds > 0 {
+			cells[i].seeds = seeds
+		}
+		results[i] = make([]crowd.Measure, cells[i].seeds)
+		for s := range cells[i].seeds {
+			todo = append(todo, func() {
+				results[i][s] = crowd.Death(crowd.Options{Routers: cells[i].routers, Seed: uint64(s + 1), Loss: cells[i].loss, Slow: cells[i].slow, Late: late,
+					Together: cells[i].routers >= 1000}) // their start is looked at on its own
+			})
+		}
+	}
+	slices.Reverse(todo) // the long ones first
+	each(cores, todo)
+	t := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "routers\tloss\tslow\tseeds\thalf know (median)\tall know (median)\tall know (longest)\tsettled (median)\tnever\tfalse deaths\theard by\trouter-hours\tpackets/s\tbytes/s")
+	for i, c := range cells {
+		var half, all, agreed []float64
+		never, falsely, told, hours, packets, bytes := 0, 0, 0, 0.0, 0.0, 0.0
+		for _, m := range results[i] {
+			if m.All < 0 || m.Agreed < 0 {
+				never++
+			}
+			half, all, agreed = append(half, m.Half), append(all, m.All), append(agreed, m.Agreed)
+			falsely, told, hours = falsely+m.False, told+m.Told, hours+m.Hours
+			packets, bytes = packets+m.Packets/float64(c.seeds), bytes+m.Bytes/float64(c.seeds)
+		}
+		for _, list := range [][]float64{half, all, agreed} {
+			slices.Sort(list)
+		}
+		fmt.Fprintf(t, "%d\t%.2f\t%.2f\t%d\t%.2f\t%.2f\t%.2f\t%.2f\t%d\t%d\t%d\t%.1f\t%.1f\t%.0f\n", c.routers, c.loss, c.slow, c.seeds, half[len(half)/2],
+			all[len(all)/2], all[len(all)-1], agreed[len(agreed)/2], never, falsely, told, hours, packets, bytes)
+	}
+	t.Flush()
+}
+
+func quiet(hours float64, cores int) {
+	const routers, seconds = 300, 600
+	n := int(hours*3600/routers/seconds) + 1
+	results := make([]crowd.Measure, n)
+	var todo []func()
+	for s := range n {
+		todo = append(todo, func() {
+			results[s] = crowd.Quiet(crowd.Options{Routers: routers, Seed: uint64(5000 + s), Loss: 0.05}, seconds)
+		})
+	}
+	each(cores, todo)
+	var sum crowd.Measure
+	for _, m := range results {
+		sum.Hours, sum.False, sum.Told = sum.Hours+m.Hours, sum.False+m.False, sum.Told+m.Told
+	}
+	fmt.Printf("%d plays of %d routers, %.0f router-hours at 5%% loss: %d false deaths, heard by %d\n", n, routers, sum.Hours, sum.False, sum.Told)
+}
+
+func each(cores int, todo []func()) {
+	var wait sync.WaitGroup
+	free := make(chan struct{}, max(cores, 1))
+	for _, do := range todo {
+		free <- struct{}{}
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			do()
+			<-free
+		}()
+	}
+	wait.Wait()
+}
--- a/internal/crowd/crowd_test.go
+++ b/internal/crowd/crowd_test.go
@@ -71,3 +71,192 @@
 	t.Logf("agreed %.1f s after the cut healed", took)
 	assert.Greater(t, took, 0.0)
 }
+
+// group tells by a list of sizes which part of the crowd a router is in.
+func group(c *Crowd, sizes ...int) map[*Node]int {
+	out, i := map[*Node]int{}, 0
+	for part, size := range sizes {
+		for range size {
+			out[c.Nodes[i]] = part
+			i++
+		}
+	}
+	return out
+}
+
+func agrees(t *testing.T, c *Crowd, within float64, why string) {
+	took := c.UntilAgreed(within)
+	assert.GreaterOrEqual(t, took, 0.0, why)
+	t.Logf("%s: agreed after %.1f s", why, took)
+}
+
+func TestCutsOfAllKindsHeal(t *testing.T) {
+	for name, passes := range map[string]func(c *Crowd, in map[*Node]int) func(a, b *Node) bool{
+		"thirds": func(_ *Crowd, in map[*Node]int) func(a, b *Node) bool {
+			return func(a, b *Node) bool { return in[a] == in[b] }
+		},
+		"one way": func(_ *Crowd, in map[*Node]int) func(a, b *Node) bool {
+			return func(a, b *Node) bool { return in[a] <= in[b] }
+		},
+		"one off": func(c *Crowd, _ map[*Node]int) func(a, b *Node) bool {
+			return func(a, b *Node) bool { return a != c.Nodes[3] && b != c.Nodes[3] }
+		},
+		"one is deaf": func(c *Crowd, _ map[*Node]int) func(a, b *Node) bool {
+			return func(_, b *Node) bool { return b != c.Nodes[3] }
+		},
+	} {
+		c := settled(t, Options{Routers: 15, Seed: 4})
+		c.Cut(passes(c, group(c, 5, 5, 5)))
+		c.Run(25)
+		c.Cut(nil)
+		agrees(t, c, 120, name)
+	}
+}
+
+// Two that can't hear each other while all others hear both: nobody is given up for it.
+func TestOneLinkThatIsCutCostsNobodyHisPlace(t *testing.T) {
+	c := settled(t, Options{Routers: 12, Seed: 5})
+	var m Measure
+	*c.falseDeaths(&m) = true
+	c.Cut(func(a, b *Node) bool { return a != c.Nodes[2] || b != c.Nodes[7] })
+	c.Run(120)
+	assert.Zero(t, m.False)
+	agrees(t, c, 5, "with the link still cut")
+}
+
+func TestAllRestartedATenthAtATime(t *testing.T) {
+	c := settled(t, Options{Routers: 30, Seed: 6})
+	for i := range 10 {
+		for _, n := range c.Nodes[3*i : 3*i+3] {
+			c.Leave(n)
+			c.After(1, func() { c.Start(n) })
+		}
+		c.Run(2)
+	}
+	agrees(t, c, 30, "after a rolling restart")
+}
+
+func TestOneThatFlapsIsTakenAsItIsInTheEnd(t *testing.T) {
+	c := settled(t, Options{Routers: 12, Seed: 7})
+	for range 20 {
+		c.Kill(c.Nodes[5])
+		c.Run(1.5)
+		c.Start(c.Nodes[5])
+		c.Run(1.5)
+	}
+	agrees(t, c, 30, "after a minute of flapping")
+}
+
+// A process that was stopped goes on in the belief of half a minute ago: it accuses nobody for that, and is not sure until it
+// has heard of others.
+func TestAPauseIsNotHeldAgainstOthers(t *testing.T) {
+	c := settled(t, Options{Routers: 12, Seed: 8})
+	var m Measure
+	c.Pause(c.Nodes[4])
+	c.Run(30)
+	for _, n := range c.Living() {
+		assert.False(t, n.Machine.Holds(c.Nodes[4].Name))
+	}
+	*c.falseDeaths(&m) = true
+	c.Go(c.Nodes[4])
+	assert.NotEqual(t, membership.Settled, c.Nodes[4].Machine.Certainty())
+	agrees(t, c, 30, "after the pause")
+	assert.Zero(t, m.False)
+	assert.Greater(t, c.Nodes[4].Machine.View().Members[c.Nodes[4].Machine.View().Index].Incarnation, uint32(0), "it has refuted")
+}
+
+// The newer start of a name has it. The older says so, is alone, and takes the name again when the newer is gone.
+func TestANameUsedTwice(t *testing.T) {
+	c := settled(t, Options{Routers: 6, Seed: 9})
+	older := c.Nodes[2]
+	newer := &Node{Name: older.Name, Address: "10.0.0.7:7500", crowd: c}
+	c.Nodes = append(c.Nodes, newer)
+	c.Start(newer)
+	c.Run(10)
+	assert.Equal(t, membership.Alone, older.Machine.Certainty())
+	for _, n := range c.Nodes {
+		if n != older {
+			assert.Equal(t, 6, n.Machine.Count())
+			assert.Equal(t, membership.Settled, n.Machine.Certainty(), n.Address)
+		}
+	}
+	c.Kill(newer)
+	agrees(t, c, 60, "the older alone has the name")
+}
+
+// A clock that was set back gives a smaller start: at the same address it can only be the same router.
+func TestAStartThatIsTooSmallIsRaised(t *testing.T) {
+	c := settled(t, Options{Routers: 5, Seed: 10})
+	n := c.Nodes[1]
+	before := n.Machine.Self().Start
+	c.Kill(n)
+	s := c.Settings
+	s.Self, s.Listen, s.Seeds = membership.ID{Name: n.Name, Start: before - 5000}, n.Address, []string{c.Nodes[0].Address}
+	n.Machine = membership.New(s, 1, c.Now)
+	n.plan()
+	agrees(t, c, 30, "though its start was smaller")
+	assert.Greater(t, n.Machine.Self().Start, before)
+}
+
+func TestSeedsThatAreAllDownCostOnlyTime(t *testing.T) {
+	c := New(Options{Routers: 6, Seed: 11})
+	for _, n := range c.Nodes[1:] {
+		if n != c.Nodes[3] {
+			c.Start(n)
+		}
+	}
+	c.Run(20)
+	for _, n := range c.Living() {
+		assert.Equal(t, membership.Alone, n.Machine.Certainty(), "nobody is found")
+	}
+	c.Start(c.Nodes[0])
+	c.Start(c.Nodes[3])
+	agrees(t, c, 30, "once a seed is there")
+}
+
+// Whatever goes wrong, drawn by a seed: when it has ended, all that run agree.
+func TestWhateverGoesWrongTheyAgreeAfterwards(t *testing.T) {
+	for seed := range uint64(12) {
+		c := settled(t, Options{Routers: 5 + int(seed)*2, Seed: 100 + seed, Loss: 0.05 * float64(seed%4)})
+		for range 8 {
+			n := c.Nodes[c.chance.IntN(len(c.Nodes))]
+			switch c.chance.IntN(6) {
+			case 0:
+				c.Kill(n)
+			case 1:
+				c.Kill(n)
+				c.Start(n)
+			case 2:
+				if n.Machine != nil && !n.Paused {
+					c.Leave(n)
+				}
+			case 3:
+				if n.Machine != nil {
+					c.Pause(n)
+				}
+			case 4:
+				in := group(c, len(c.Nodes)/2)
+				oneWay := c.chance.IntN(2) == 0
+				c.Cut(func(a, b *Node) bool {
+					_, x := in[a]
+					_, y := in[b]
+					return x == y || oneWay && x
+				})
+			case 5:
+				c.Cut(nil)
+			}
+			c.Run(4 * c.chance.Float64())
+		}
+		c.Cut(nil)
+		for _, n := range c.Nodes {
+			c.Go(n)
+			if n.Machine == nil && c.chance.IntN(3) > 0 {
+				c.Start(n)
+			}
+		}
+		if len(c.Living()) < len(c.Nodes) { // who is missing may be cut off: that takes its time
+			c.Run(c.Settings.Accept)
+		}
+		agrees(t, c, 180, "seed")
+	}
+}
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -133,3 +133,9 @@
 
 // Self is the start under which this router is known.
 func (m *Machine) Self() ID { return m.self.ID }
+
+// Holds tells whether somebody of this name is in the view.
+func (m *Machine) Holds(name string) bool {
+	r := m.records[name]
+	return name == m.self.Name || r != nil && r.there()
+}
--- a/internal/torture/cmd/main.go
+++ b/internal/torture/cmd/main.go
@@ -157,7 +157,7 @@
 			return
 		}
 		batches += len(r.Batches)
-		fmt.Printf("seed %d: %s, %d findings\n", r.Seed, r.Counts(), len(r.Findings))
+		fmt.Printf("seed %d: %s, %d findings; cold budget used %.2f at the most\n", r.Seed, r.Counts(), len(r.Findings), r.Uses()[0].Most)
 		if len(r.Findings) > 0 {
 			broken++
 			tell(r)
--- a/internal/torture/fleet.go
+++ b/internal/torture/fleet.go
@@ -75,11 +75,15 @@
 func (p *play) shake(s Step) {
 	again := func(r *router) { p.failed(r.start()) }
 	switch s.Fault {
-	case KillMany: // a tenth, half, seven in ten: at once, each in its own goroutine
-		each(p.several(s, []float64{0.1, 0.5, 0.7}[s.Which%3]), func(r *router) {
+	case KillMany: // a tenth, half, seven in ten, and all: at once. All are back at once too, as after a power cut
+		share, away := []float64{0.1, 0.5, 0.7, 1}[s.Which%4], s.For
+		if share == 1 {
+			away = 0
+		}
+		each(p.several(s, share), func(r *router) {
 			if !r.down.Load() {
 				r.kill()
-				time.Sleep(s.For)
+				time.Sleep(away)
 				again(r)
 			}
 		})
@@ -96,7 +100,7 @@
 	case FreezeMany:
 		each(p.several(s, []float64{0.1, 0.5, 1}[s.Which%3]), func(r *router) {
 			if !r.down.Load() {
-				r.freeze(s.For + fallTime/2)
+				r.freeze(s.For)
 			}
 		})
 	case Newcomer:
--- a/internal/torture/script.go
+++ b/internal/torture/script.go
@@ -33,7 +33,7 @@
 	// Those of a fleet: several routers before the same engines, with links between all of them.
 	KillMany   // SIGKILL of several at once, and a start of each some time later, with nothing remembered
 	RestartAll // SIGTERM and a start, one after the other
-	FreezeMany // SIGSTOP of several for longer than budgets last
+	FreezeMany // SIGSTOP of several, or of all
 	Newcomer   // one starts late
 	Twin       // a second process under the name and number of one, for a while
 	OtherBuild // one is restarted with the other build of the program, and later with its own
@@ -64,6 +64,8 @@
 	return fmt.Sprintf("%.2f s: %s, %.2f s, %d", s.At.Seconds(), s.Fault, s.For.Seconds(), s.Which)
 }
 
+const swapEvery = 1700 * time.Millisecond // of a fleet's engines: about three of four are cold
+
 // Script draws what goes wrong in a play of some length. The same seed gives the same script. Every third seed of one router
 // has reloads as its only trouble, with many of them: that is what a reload day of the users' bench lost batches on. Scripts
 // of a fleet have engines replaced all the time, since that is when what routers do together can push one over.
@@ -79,9 +81,11 @@
 		for f := KillMany; f < faults; f++ {
 			kinds = append(kinds, f, f)
 		}
-		kinds = append(kinds, EngineSwap, EngineSwap, EngineSwap, EngineSwap, EngineSwap, EngineSwap, EngineSwap, EngineSwap)
 	}
 	var steps []Step
+	for at := swapEvery / 2; routers > 1 && at < long; at += swapEvery {
+		steps = append(steps, Step{At: at, Fault: EngineSwap, Which: r.IntN(6)})
+	}
 	for range 4 + r.IntN(int(long.Seconds())) + min(routers-1, 4) {
 		s := Step{At: time.Duration(float64(long) * (0.1 + 0.8*r.Float64())), Fault: kinds[r.IntN(len(kinds))],
 			For: time.Duration((0.1 + 1.2*r.Float64()) * float64(time.Second)), Which: 1 + r.IntN(6)}
