After a standstill what clients wrote is read before any is ended for silence

Cause: lookAtClients in internal/router/clients.go looks at how long half a frame has stood, and its timer fires before the sockets are read, so what had come in during the stop counted for nothing, and closing with unread bytes resets. Change: a look that comes late by over 0.1 s is put off once, by 20 ms. It covers silent and idle connections too.

--- a/internal/router/clients.go
+++ b/internal/router/clients.go
@@ -11,6 +11,8 @@
 // What a connection of a client may cost; seconds.
 const (
 	lookEvery  = 0.25
+	lateLook   = 0.1  // so much later than planned: the process stood still
+	lookSoon   = 0.02 // until what came meanwhile has been read
 	tellEvery  = 10.0
 	silentTime = 2.0  // a new one has brought a whole frame by then, and so has one that has begun a frame
 	settled    = 0.05 // silent for so long, a new one was not opened to ask at once
@@ -45,8 +47,8 @@
 	c := &client{number: number, speaks: speaks, open: map[uint32]*batch{}, since: r.now}
 	r.clients[number] = c
 	if !r.looking {
-		r.looking = true
-		r.timers.add(r.now+lookEvery, clientCheck{})
+		r.looking, r.lookAt = true, r.now+lookEvery
+		r.timers.add(r.lookAt, clientCheck{})
 	}
 	if r.mostClients > 0 && len(r.clients) > r.mostClients {
 		if worst := r.leastUsed(); r.use(worst) != inUse {
@@ -100,8 +102,18 @@
 // lookAtClients ends what only takes a descriptor: silent ones, frames that never become whole, idle ones.
 func (r *Router) lookAtClients() {
 	r.looking = len(r.clients) > 0
+	// Woken late we stood still ourselves, and what clients wrote meanwhile waits in their sockets: it is read first. A client
+	// whose half frame was whole long since lost all that it had asked behind it. This covers silent and idle ones too, and
+	// any cause of a standstill. It hurts little: they are ended a moment later.
+	if late := r.now - r.lookAt; r.looking && late > lateLook && !r.putOff {
+		r.putOff, r.lookAt = true, r.now+lookSoon
+		r.timers.add(r.lookAt, clientCheck{})
+		return
+	}
+	r.putOff = false
 	if r.looking {
-		r.timers.add(r.now+lookEvery, clientCheck{})
+		r.lookAt = r.now + lookEvery
+		r.timers.add(r.lookAt, clientCheck{})
 	}
 	for _, c := range r.inOrder() {
 		switch {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -55,7 +55,9 @@
 	clients     map[uint64]*client      // clientEnded deletes
 	crowd       crowd                   // what was done about too many of them, since the last line on it
 	mostClients int                     // connections
-	looking     bool                    // at them, by a timer
+	looking     bool                    // at them, by a timer,
+	lookAt      float64                 // that is due then,
+	putOff      bool                    // once, as it came late
 	batches     map[*brain.Batch]*batch // forget deletes
 	open        map[string]*batch       // by id, while the client waits; unwait deletes
 	ids         uint64
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -347,6 +347,27 @@
 	assert.Equal(t, map[uint64]End{1: Silent}, h.closedClients(), "then half a frame counts again")
 }
 
+// A router that was stopped for two seconds ended a client for half a frame, whose other half and twelve batches lay unread.
+func TestWhatCameDuringAStandstillIsReadBeforeClientsAreEndedForSilence(t *testing.T) {
+	h := start(t, east("s-1"))
+	h.pass(0.3)
+	h.tell(ClientBegan{1})
+	h.now += 3 // nobody ran us
+	h.tell(TimerFired{})
+	assert.Empty(t, h.closedClients(), "its socket has not been read since")
+	h.batch("upload", 9000)
+	h.pass(0.5)
+	assert.Empty(t, h.closedClients())
+	h = start(t, east("s-1"))
+	h.pass(0.3)
+	h.tell(ClientBegan{1})
+	h.now += 3
+	h.tell(TimerFired{})
+	h.now += 3 // and again: it is put off once
+	h.tell(TimerFired{})
+	assert.Equal(t, map[uint64]End{1: Silent}, h.closedClients())
+}
+
 func TestClientsInUseWinOverSilentOnes(t *testing.T) {
 	h := start(t, east("s-1"))
 	h.mostClients = 4
