Tests: settings of a fleet, nothing listens without them, rubbish to routers that talk

Change: tests over 16 bad files, over the sockets that a started program holds, and datagrams by chance, too long, cut and of another fleet in the rig's rude clients.

--- a/cmd/pitchfield/main_test.go
+++ b/cmd/pitchfield/main_test.go
@@ -320,3 +320,40 @@
 	require.NoError(t, p.Wait(), "a stop amid a reload")
 	assert.Contains(t, p.log.String(), "the old one is kept")
 }
+
+// As deployed a router neither talks nor shares: beside its listener and its question to the name service no socket is open, and
+// none takes datagrams from whoever sends them.
+func TestWithoutSettingsOfOurOwnNothingListensBesideTheClients(t *testing.T) {
+	p := launch(t, engine(t, nil))
+	pid := p.Process.Pid
+	sockets := func(protocol string) (local, remote []string) {
+		held := map[string]bool{}
+		links, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", pid))
+		require.NoError(t, err)
+		for _, l := range links {
+			if to, err := os.Readlink(fmt.Sprintf("/proc/%d/fd/%s", pid, l.Name())); err == nil {
+				held[strings.TrimSuffix(strings.TrimPrefix(to, "socket:["), "]")] = true
+			}
+		}
+		table, err := os.ReadFile(fmt.Sprintf("/proc/%d/net/%s", pid, protocol))
+		require.NoError(t, err)
+		for _, line := range strings.Split(string(table), "\n")[1:] {
+			if f := strings.Fields(line); len(f) > 9 && held[f[9]] {
+				local, remote = append(local, f[1]), append(remote, f[2]+" "+f[3])
+			}
+		}
+		return local, remote
+	}
+	const nobody = "00000000:0000"
+	_, asked := sockets("udp")
+	require.Len(t, asked, 1, "the name service's")
+	assert.NotContains(t, asked[0], nobody, "it is connected: it hears nobody else")
+	listening := 0
+	_, remote := sockets("tcp")
+	for _, r := range remote {
+		if strings.HasPrefix(r, nobody+" 0A") {
+			listening++
+		}
+	}
+	assert.Equal(t, 1, listening, "clients'")
+}
--- a/internal/installation/installation_test.go
+++ b/internal/installation/installation_test.go
@@ -101,3 +101,47 @@
 	_, err = Parse("x.toml", []byte("[status]\nlisten = \"here\"\n"), env)
 	assert.ErrorContains(t, err, "x.toml:2: status.listen")
 }
+
+const talks = `[fleet]
+name = "brno"
+listen = "10.1.0.4:7500"
+seeds = ["10.1.0.4:7500", "10.1.0.5:7500"]
+networks = ["10.1.0.0/24", "10.2.0.0/16"]
+every = "500ms"
+via = [{to = "10.2.0.9:7500", by = "10.1.0.1:17509"}]
+`
+
+func TestAFleetIsReadAndWhatCanNotBeIsTold(t *testing.T) {
+	i, err := Parse("x.toml", []byte(talks), env)
+	require.NoError(t, err)
+	require.NotNil(t, i.Fleet)
+	assert.Equal(t, "10.1.0.4:7500", i.Fleet.Members.Listen)
+	assert.Equal(t, []float64{0.5, 0.2}, []float64{i.Fleet.Members.Every, i.Fleet.Members.Ask}, "the other times follow")
+	assert.Len(t, i.Fleet.Networks, 2)
+	none, err := Parse("x.toml", []byte(good), env)
+	require.NoError(t, err)
+	assert.Nil(t, none.Fleet, "without the section there is no talk")
+	for change, why := range map[string]string{
+		`name = "brno"|`:                                       "x.toml:1: fleet.name",
+		`name = "brno"|name = "two words"`:                     "x.toml:2: fleet.name",
+		`name = "brno"|nmae = "brno"`:                          "x.toml:2: fleet.nmae: no such key",
+		`listen = "10.1.0.4:7500"|listen = "here"`:             `x.toml:3: fleet.listen: "here" is not an address`,
+		`listen = "10.1.0.4:7500"|listen = "0.0.0.0:7500"`:     "x.toml:3: fleet.listen",
+		`listen = "10.1.0.4:7500"|listen = "10.3.0.4:7500"`:    "is in none of the networks",
+		`seeds = ["10.1.0.4:7500", "10.1.0.5:7500"]|seeds=[]`:  "x.toml:4: fleet.seeds: from 1 to",
+		`"10.1.0.5:7500"]|"10.1.0.4:7500"]`:                    "is there twice",
+		`"10.1.0.0/24"|"10.1.0.0"`:                             "x.toml:5: fleet.networks[0]",
+		`"10.2.0.0/16"|"0.0.0.0/0"`:                            "is everybody",
+		`networks = ["10.1.0.0/24", "10.2.0.0/16"]|`:           "without networks anybody could talk",
+		`every = "500ms"|every = "1ms"`:                        "x.toml:6: fleet.every",
+		`every = "500ms"|accept-loss-after = "5s"`:             "x.toml:6: fleet.accept-loss-after",
+		`every = "500ms"|every = 5`:                            "text in quotes is wanted, not 5",
+		`by = "10.1.0.1:17509"|by = "there"`:                   "x.toml:7: fleet.via[0].by",
+		`via = [{to = "10.2.0.9:7500"|via = [{to = "10.2.0.9"`: "x.toml:7: fleet.via[0].to",
+	} {
+		old, new, _ := strings.Cut(change, "|")
+		require.Contains(t, talks, old)
+		_, err := Parse("x.toml", []byte(strings.Replace(talks, old, new, 1)), env)
+		assert.ErrorContains(t, err, why, change)
+	}
+}
--- a/internal/torture/play.go
+++ b/internal/torture/play.go
@@ -401,6 +401,9 @@
 		conns = append(conns, c)
 		c.Write([][]byte{nil, {200, 1, 0, 0, 10}, bytes.Repeat([]byte{255}, 40), standin.Frame(10, 1, []string{"c", "nobody"}, "x")}[i%4]) //nolint:errcheck
 	}
+	if r.Talk {
+		r.rubbish(s)
+	}
 	time.Sleep(s.For)
 	for _, c := range conns {
 		c.Close()
--- a/internal/torture/talk.go
+++ b/internal/torture/talk.go
@@ -4,14 +4,17 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"path/filepath"
 	"strings"
 	"time"
 
+	"pitchfield/internal/membership"
 	"pitchfield/internal/relay"
 	"pitchfield/internal/serve"
+	"pitchfield/internal/talk"
 )
 
 // Bounds of what a fleet may take to agree, once nothing goes wrong any more. Routers probe each other ten times a second
@@ -71,6 +74,35 @@
 	return path, nil
 }
 
+// rubbish sends what is no packet of the fleet, and what is one of another: bytes by chance, too much, cut, of a router that
+// nobody knows under another fleet's name.
+func (r *router) rubbish(s Step) {
+	c, err := net.Dial("udp", r.talkAddress())
+	if err != nil {
+		return
+	}
+	defer c.Close()
+	chance := rand.New(rand.NewPCG(r.Seed, uint64(s.At)))
+	ghost := membership.Member{ID: membership.ID{Name: "ghost", Start: 1}, Address: "127.0.0.1:9"}
+	other, err := talk.Encode("another", &membership.Message{Kind: membership.Ping, From: ghost, Number: 1})
+	if err != nil {
+		return
+	}
+	for i := range 20 * s.Which {
+		data := make([]byte, []int{0, 1, 40, 1400, 9000}[i%5])
+		for k := range data {
+			data[k] = byte(chance.Uint32())
+		}
+		switch i % 3 {
+		case 1:
+			data = other
+		case 2:
+			data = other[:chance.IntN(len(other))]
+		}
+		c.Write(data) //nolint:errcheck // it is rubbish
+	}
+}
+
 // agree waits until all routers that run have settled on the same view, which has all of them and nobody else.
 func (p *play) agree(within time.Duration) error {
 	var err error
