--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -9,9 +9,23 @@
 	"slices"
 	"strings"
 
+	"pitchfield/internal/findings"
 	"pitchfield/internal/membership"
 )
 
+// Sections are [fleet] of an operator's settings.
+type Sections struct {
+	Fleet *Section `toml:"fleet"`
+}
+
+// Prove gives what came of it; nil: there is no talk.
+func (s *Sections) Prove(c findings.To) *Settings {
+	if s.Fleet == nil {
+		return nil
+	}
+	return s.Fleet.settings(c)
+}
+
 // Section is what the file says.
 type Section struct {
 	Name     string   `toml:"name"`
@@ -34,12 +48,6 @@
 	Via      map[netip.AddrPort]netip.AddrPort
 }
 
-// Findings is where what is wrong is told, with the key that it is about.
-type Findings interface {
-	Found(key, format string, args ...any)
-	Seconds(key, text string, most float64) float64
-}
-
 const (
 	leastEvery, mostEvery   = 0.05, 10
 	leastAccept, mostAccept = 5, 24 * 3600
@@ -47,8 +55,8 @@
 	longestName             = 64
 )
 
-// Settings proves the section.
-func (s *Section) Settings(f Findings) *Settings {
+// settings proves the section.
+func (s *Section) settings(f findings.To) *Settings {
 	out := &Settings{Name: s.Name, Members: membership.Defaults(), Via: map[netip.AddrPort]netip.AddrPort{}}
 	m := &out.Members
 	if s.Name == "" || len(s.Name) > longestName || strings.ContainsFunc(s.Name, func(c rune) bool { return c <= ' ' }) {
@@ -111,7 +119,7 @@
 	return out
 }
 
-func (s *Section) address(f Findings, key, text string) (netip.AddrPort, bool) {
+func (s *Section) address(f findings.To, key, text string) (netip.AddrPort, bool) {
 	a, err := netip.ParseAddrPort(text)
 	if err != nil || a.Port() == 0 {
 		f.Found(key, "%q is not an address and a port, as 10.1.0.4:7500", text)
