--- a/internal/standin/act.go
+++ b/internal/standin/act.go
@@ -75,6 +75,8 @@
 	Memory time.Duration
 	// Script gives the act for a batch; the count tells how often its text has come.
 	Script func(r Run, count int) Act
+	// TellsMemory: engines tell the memory that runs hold, as answers tell it of each; else a fixed tenth.
+	TellsMemory bool
 	// GivesUp: what runs for a connection ends with it, as the protocol's page says of real engines.
 	GivesUp bool
 
--- a/internal/torture/play.go
+++ b/internal/torture/play.go
@@ -122,7 +122,7 @@
 func Run(o Options) (*Result, error) {
 	o.Clients, o.MemoryMB, o.Descriptors = cmp.Or(o.Clients, 24), cmp.Or(o.MemoryMB, 32), cmp.Or(o.Descriptors, 256)
 	o.Routers, o.Older = max(o.Routers, 1), cmp.Or(o.Older, o.Program)
-	p := &play{Options: o, began: time.Now(), ledger: &standin.Ledger{Memory: window, GivesUp: true}}
+	p := &play{Options: o, began: time.Now(), ledger: &standin.Ledger{Memory: window, GivesUp: true, TellsMemory: true}}
 	p.ledger.Script = p.act
 	n := plays.Add(1)
 	p.host = fmt.Sprintf("127.%d.%d.%d", 60+os.Getpid()%100, n/250%250, 1+n%250)
