--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -130,7 +130,7 @@
 	Accept  float64 // cut off for so long, those who are missing count as gone for good
 }
 
-// Defaults fit routers in one hall: a death is known within some three seconds, at about three kilobytes a second for each.
+// Defaults fit routers in one hall: a death is known within some three seconds, at eight packets a second for each.
 func Defaults() Settings {
 	return Settings{Every: 0.25, Ask: 0.1, Helpers: 3, Doubt: 2.5, Longest: 6, Accuse: 3, Tells: 3, Rumours: 900, Settle: 1.5, Lately: 2,
 		Compare: 1, Join: 1, Keep: 60, Accept: 60}
