Torture: a crash loop, all killed and back three times while an engine is still cold

Starts that follow each other within one fall time are what it takes, with an engine that was replaced just before; the scripts had none.

--- a/internal/torture/fleet.go
+++ b/internal/torture/fleet.go
@@ -11,6 +11,8 @@
 // it is asked at different times.
 const namesParty = "names"
 
+const crashes = 3 // in a loop of them
+
 // Weather is what lay over links for a while: what came over them then may have been decided long before.
 type Weather struct {
 	Still
@@ -87,6 +89,16 @@
 				again(r)
 			}
 		})
+	case CrashLoop: // what each start forgets is what the ones before had sent to an engine that is still cold
+		for range crashes {
+			time.Sleep(fallTime / (crashes + 1))
+			each(p.several(s, 1), func(r *router) {
+				if !r.down.Load() {
+					r.kill()
+					again(r)
+				}
+			})
+		}
 	case RestartAll:
 		for _, r := range p.several(s, 1) {
 			each([]*router{r}, func(r *router) {
--- a/internal/torture/play.go
+++ b/internal/torture/play.go
@@ -306,6 +306,9 @@
 		p.disturb(s, engine)
 	case CutEngine, CutZone, CutOneWay, CutNames, Drip, Lossy:
 		p.cloud(s, engine)
+	case CrashLoop:
+		p.disturb(Step{Fault: EngineSwap, Which: s.Which}, engine)
+		p.shake(s)
 	case KillMany, RestartAll, FreezeMany, Newcomer, Twin, OtherBuild:
 		p.shake(s)
 	case Rude:
--- a/internal/torture/script.go
+++ b/internal/torture/script.go
@@ -37,6 +37,7 @@
 	Newcomer   // one starts late
 	Twin       // a second process under the name and number of one, for a while
 	OtherBuild // one is restarted with the other build of the program, and later with its own
+	CrashLoop  // an engine is replaced, and all are killed and started again three times within a fall time
 	CutEngine  // nothing passes between a router and an engine
 	CutZone    // nor between the half of the routers and a zone, and the others
 	CutOneWay  // nothing comes back from an engine, or nothing goes there
@@ -48,7 +49,7 @@
 
 var faultNames = []string{"move names", "reload", "burst of reloads", "freeze", "restart", "kill", "reload amid stop", "names lost",
 	"engine mute", "engine swap", "drain", "churn", "throttle", "rude clients", "kill many", "restart all", "freeze many", "newcomer", "twin",
-	"other build", "cut from an engine", "cut along zones", "cut one way", "cut from the name service", "drip", "lossy"}
+	"other build", "crash loop", "cut from an engine", "cut along zones", "cut one way", "cut from the name service", "drip", "lossy"}
 
 func (f Fault) String() string { return faultNames[f] }
 
@@ -81,7 +82,7 @@
 		for f := KillMany; f < faults; f++ {
 			kinds = append(kinds, f, f)
 		}
-		kinds = append(kinds, KillMany, KillMany, FreezeMany, FreezeMany, FreezeMany)
+		kinds = append(kinds, KillMany, KillMany, FreezeMany, FreezeMany, FreezeMany, CrashLoop)
 	}
 	var steps []Step
 	for at := swapEvery / 2; routers > 1 && at < long; at += swapEvery {
