--- a/brain/brain.go
+++ b/brain/brain.go
@@ -13,6 +13,7 @@
 	"sort"
 
 	"pitchfield/internal/limits"
+	"pitchfield/internal/shares"
 )
 
 // The design's values (ours to tune) and those of what it leaves open. Times are seconds.
@@ -53,16 +54,17 @@
 		grants: s.Grants, priorities: s.Priorities, largestGrant: min(cmp.Or(max(s.LargestGrant, 0), 1), 1),
 		mayCancel: s.MayCancel, mayCopy: s.MayCopy, mayProbe: s.MayProbe, mustAsk: s.MustAsk, rationed: s.Rationed,
 		most: max(s.MostDispatches, 1), probeEvery: min(max(s.ProbePrice/probeWorth, 1), 16), coldTime: s.ColdTime,
-		fallTime: s.FallTime, settle: s.SettleTime, tick: s.Tick, freeFurther: s.FreeFurther, generous: 1,
+		settle: s.SettleTime, tick: s.Tick, freeFurther: s.FreeFurther, generous: 1,
 		further: s.FurtherShare, furtherWindow: s.FurtherWindow, now: now, started: now, comeBack: s.LongestDefer,
 		random: seed&0xffffffff | 1<<33, lanes: map[uint64]*lane{}, load: firstLoad, mark: firstMark,
 		swept: now, sweepAt: now, wakeAt: math.Inf(1), notesEvery: s.NotesEvery}
 	if r.grants && s.Shortage == Overcommit {
 		r.generous = generous
 	}
-	if s.Routers > 0 { // else nobody knows how many others send to a cold engine
-		r.coldWork = coldShare * s.FallMultiple * s.ColdFrom * warmLoad * s.FallTime / min(r.routers, coldRouters)
-	}
+	// What all routers together may send to a cold engine in any fall time, by its pace when it starts.
+	r.fixed = shares.Fixed{Routers: float64(s.Routers), Index: s.Index, Sharers: coldRouters, Began: now,
+		Whole: coldShare * s.FallMultiple * s.ColdFrom * warmLoad * s.FallTime, Window: s.FallTime}
+	r.parts, r.sharers = shares.NewPlain(r.fixed), min(r.routers, coldRouters)
 	for _, g := range s.Groups {
 		g.Threads = max(g.Threads, 1)
 		r.like.batches, r.like.threads = r.like.batches+1e-3, r.like.threads+1e-3*g.Threads
@@ -308,7 +310,7 @@
 		return max(b.demand, g.Goal*g.Threads/4)
 	}
 	likely := math.Exp(r.slope()*(math.Log(b.Cost)-g.logTold)) * g.trueSum / g.flatSum
-	if r.routers < coldRouters {
+	if r.sharers < coldRouters {
 		return max(likely, min(b.demand*(1+unsure/math.Sqrt(g.seen+1)), max(b.Cost, b.demand)))
 	}
 	return likely + max(b.demand-likely, 0)/math.Sqrt(coldRouters)
@@ -586,13 +588,16 @@
 			break
 		}
 		e, figure := r.place(b)
+		if e != nil && (figure < r.mark || r.draw() < r.mark/figure) {
+			return b, e
+		}
+		if r.lack != nil { // asked for at one engine alone: what lies idle here is missing elsewhere
+			r.parts.Want(r.now, r.lack.start(), b.likely)
+		}
 		if e == nil {
 			b.redrawAt = r.now + redrawLeast
 			continue
 		}
-		if figure < r.mark || r.draw() < r.mark/figure {
-			return b, e
-		}
 		// The page lets the batch redraw; with many held a crowd walks through, so the whole gateway waits.
 		r.gateAt = r.now + redrawLeast + (redrawMost-redrawLeast)*r.draw()
 	}
@@ -632,13 +637,17 @@
 	return l.line[0] == b && l.out == b.Out && (r.now >= l.restTo || l.restBy == b)
 }
 
-// place gives the engine with the lowest figure among those the batch may go to.
+// place gives the engine with the lowest figure among those the batch may go to, and the one without a part.
 func (r *Router) place(b *Batch) (best *Engine, figure float64) {
+	least := 0.0
+	r.lack = nil
 	others := len(b.dispatches) > 0 && slices.ContainsFunc(r.engines, func(e *Engine) bool {
-		return e.asideUntil == 0 && e.by[b.Group].asideUntil == 0 && !b.refusedBy(e) && r.allowed(b, e)
+		return e.asideUntil == 0 && e.by[b.Group].asideUntil == 0 && !b.refusedBy(e) && r.allowed(b, e) &&
+			r.room(b, e)
 	})
 	for _, e := range r.engines {
-		if !r.allowed(b, e) || others && b.refusedBy(e) || !r.fit(b, e) {
+		room := r.room(b, e)
+		if !room && !r.moved || !r.allowed(b, e) || others && b.refusedBy(e) || !r.fit(b, e) {
 			continue
 		}
 		f := r.filled(e).threads
@@ -650,13 +659,15 @@
 				f += blocked
 			}
 		} else if (r.routers <= 1 || r.fresh(e)) &&
-			mix(math.Float64bits(b.Tables)>>24+1, uint64(e.ID))*float64(len(r.engines)) < homes {
+			shares.Mix(math.Float64bits(b.Tables)>>24+1, uint64(e.ID))*float64(len(r.engines)) < homes {
 			f -= homeBonus
 		}
 		h := e.by[b.Group]
 		f += failCost * h.bad / (h.good + h.bad + 4)
-		if best == nil || f < figure {
+		if room && (best == nil || f < figure) {
 			best, figure = e, f
+		} else if !room && (r.lack == nil || f < least) {
+			r.lack, least = e, f
 		}
 	}
 	return best, figure
@@ -677,27 +688,16 @@
 	return e.Phase == Ready && b.Route.Goes(e.Kind) && (g.Zones == nil || slices.Contains(g.Zones, e.Zone)) &&
 		(g.Kinds == nil || slices.Contains(g.Kinds, e.Kind)) &&
 		(at == nil || g.Effect != Referenced || (g.Scope != WithinZone || e.Zone == at.Zone) &&
-			(g.Scope != WithinCell || e.Cell == at.Cell)) && (!r.cold(e) || r.coldRoom(e, b.likely))
+			(g.Scope != WithinCell || e.Cell == at.Cell))
 }
 
-func (r *Router) cold(e *Engine) bool {
-	return e.StartedAt > 0 && r.now < e.StartedAt+r.coldTime+0.5
+// room: what a cold engine bears counts over all routers, so each has a part, fixed or moved by talk.
+func (r *Router) room(b *Batch, e *Engine) bool {
+	return !r.cold(e) || r.parts.Room(r.now, e.start(), b.likely)
 }
 
-// coldRoom: our share of what may be sent to a cold engine in any fall time. A few routers have it all,
-// picked alike everywhere by engine, start and own number. After our own start one is taken as spent.
-func (r *Router) coldRoom(e *Engine, work float64) bool {
-	n, first := int(r.routers), int(mix(uint64(e.ID), math.Float64bits(e.StartedAt))*r.routers)
-	if r.now < r.started+r.fallTime || r.index < 0 || r.index >= n || (r.index-first+n)%n >= coldRouters {
-		return false
-	}
-	budget := r.coldWork * e.cores
-	for _, s := range e.sends {
-		if s.at > r.now-r.fallTime-0.1 {
-			budget -= s.work
-		}
-	}
-	return work <= budget
+func (r *Router) cold(e *Engine) bool {
+	return e.StartedAt > 0 && r.now < e.StartedAt+r.coldTime+0.5
 }
 
 // fit: bounds, health and memory. An engine set aside is tried with one batch at a time once its time has
@@ -751,7 +751,7 @@
 		own.threads = all.threads
 	case r.fresh(e):
 	case r.cold(e): // only the few that share its budget send there, each like us
-		return amount{}.add(own, min(r.routers, coldRouters))
+		return amount{}.add(own, r.sharers)
 	case r.sight == 0:
 		return all.add(r.common, others)
 	default:
@@ -783,8 +783,7 @@
 	b.Out++
 	b.lane.out++
 	if r.cold(e) {
-		e.sends = slices.DeleteFunc(e.sends, func(s spend) bool { return s.at < r.now-r.fallTime-0.1 })
-		e.sends = append(e.sends, spend{r.now, b.likely})
+		r.parts.Spend(r.now, e.start(), b.likely)
 	}
 	wait := b.limitAt - r.now
 	g, again := b.Group, b.Group.Effect == Repeatable || b.Group.Effect == Referenced && e.Alone
--- a/brain/figures.go
+++ b/brain/figures.go
@@ -86,10 +86,3 @@
 	}
 	return rep
 }
-
-// mix is alike at every router: what one has read stays warm for all, and all pick the same few of them.
-func mix(a, b uint64) float64 {
-	h := a*0x9e3779b97f4a7c15 ^ b*0xc2b2ae3d27d4eb4f
-	h = (h ^ h>>29) * 0xbf58476d1ce4e5b9
-	return float64(h>>32) / (1 << 32)
-}
--- a/brain/seen.go
+++ b/brain/seen.go
@@ -1,6 +1,9 @@
 package brain
 
-import "pitchfield/internal/limits"
+import (
+	"pitchfield/internal/limits"
+	"pitchfield/internal/shares"
+)
 
 // Seen is what the module holds now, for hosts that watch it. Nothing is decided here.
 type Seen struct {
@@ -49,3 +52,26 @@
 
 // Demand is the work that a batch was estimated to need when it was taken, in seconds.
 func (b *Batch) Demand() float64 { return b.demand }
+
+// Fixed is how work for cold engines is divided among the routers where they don't talk.
+func (r *Router) Fixed() shares.Fixed { return r.fixed }
+
+func (e *Engine) start() shares.Start {
+	return shares.Start{Engine: e.ID, At: e.StartedAt, Cores: e.cores}
+}
+
+// Divide brings a division that goes by what is wanted, in place of the fixed one. What was sent by that is not known to it,
+// so it comes before the first batch, or opens late.
+func (r *Router) Divide(parts shares.Parts) { r.parts, r.moved = parts, true }
+
+// Granted: a part has come, so batches that were put off look again at once.
+func (r *Router) Granted() {
+	for _, b := range r.held {
+		b.redrawAt = min(b.redrawAt, r.now)
+	}
+	r.gateAt = min(r.gateAt, r.now)
+}
+
+// Fleet brings how many routers are there. While that is not sure hosts tell the larger number, so that more are taken to act
+// on the like of what is seen here.
+func (r *Router) Fleet(routers int) { r.routers = max(float64(routers), 1) }
--- a/brain/types.go
+++ b/brain/types.go
@@ -1,6 +1,9 @@
 package brain
 
-import "pitchfield/internal/limits"
+import (
+	"pitchfield/internal/limits"
+	"pitchfield/internal/shares"
+)
 
 // Effect says what a repeat of a batch would do; the zero value is the strictest.
 type Effect uint8
@@ -219,8 +222,7 @@
 	started            float64
 	health                                       // in all
 	by                 map[*ServiceGroup]*health // and for one group's batches; a restart voids it
-	sends              []spend
-	told               amount // by the report: threads a core, share of memory
+	told               amount                    // by the report: threads a core, share of memory
 }
 
 // health is how an engine does by the endings of its dispatches.
@@ -257,8 +259,6 @@
 // amount is what some batches take: their number, threads and memory, or the last two against an engine's.
 type amount struct{ batches, threads, memory float64 }
 
-type spend struct{ at, work float64 }
-
 // lane is the line of the batches of one key.
 type lane struct {
 	line   []*Batch
@@ -288,8 +288,12 @@
 	most                   int     // dispatches of a batch
 	probeEvery             float64 // own batches that pay for a probe
 	coldTime               float64
-	largest                float64 // memory of any engine; 0: not told
-	coldWork, fallTime     float64 // own work a core that a cold engine may get in each fall time
+	largest                float64      // memory of any engine; 0: not told
+	fixed                  shares.Fixed // how work for cold engines is divided without talk
+	parts                  shares.Parts // our part of it
+	moved                  bool         // it goes to where it is wanted
+	lack                   *Engine      // of which a batch that was just looked at wants a part
+	sharers                float64      // routers of which each has a part
 	settle, tick           float64
 	notesEvery             float64
 	freeFurther, further   float64
--- a/internal/crowd/crowd.go
+++ b/internal/crowd/crowd.go
@@ -24,6 +24,8 @@
 	Slow     float64             // share of the routers that
 	Late     float64             // take so much longer for each packet and each time they wake
 	Together bool                // all know each other at the start; else they join by two seeds
+	Double   float64             // share of datagrams that come twice
+	Purse    *Purse              // budgets that they divide; nil: none
 }
 
 // Crowd is a play that goes on.
@@ -41,6 +43,7 @@
 	Refused int     // packets that could not be worded
 	// OnNote is told what each machine notes.
 	OnNote func(n *Node, note membership.Note)
+	Ledger *Ledger // of what is divided; nil: nothing is
 }
 
 // Node is a router of the crowd.
@@ -52,8 +55,11 @@
 	Paused  bool
 	late    float64
 	timer   int
-	waiting []membership.Message // that came while it was paused
+	waiting []talk.Message // that came while it was paused
 	crowd   *Crowd
+	purse   *holder // nil: nothing is divided
+	number  int
+	rate    float64 // of its clock
 }
 
 const (
@@ -99,11 +105,18 @@
 	c := &Crowd{Options: o, Now: epoch, chance: rand.New(rand.NewPCG(o.Seed, 0x63726f7764))}
 	for i := range o.Routers {
 		n := &Node{Name: fmt.Sprintf("n%d", i+1), Address: fmt.Sprintf("10.%d.%d.%d:7500", i/62500, i/250%250, i%250+1), crowd: c}
+		n.number, n.rate = i, 1
 		if float64(i) < o.Slow*float64(o.Routers) {
 			n.late = o.Late
 		}
+		if o.Purse != nil {
+			n.rate += o.Purse.Drift * (2*c.chance.Float64() - 1)
+		}
 		c.Nodes = append(c.Nodes, n)
 	}
+	if o.Purse != nil {
+		c.Ledger = newLedger(c)
+	}
 	return c
 }
 
@@ -133,6 +146,9 @@
 	n.Life++
 	n.Paused, n.waiting = false, nil
 	n.Machine = membership.New(s, c.Seed<<20^uint64(n.Life)<<40^c.starts, c.Now)
+	if c.Purse != nil {
+		n.hold()
+	}
 	n.plan()
 }
 
@@ -163,12 +179,16 @@
 
 // Kill ends a process without a word.
 func (c *Crowd) Kill(n *Node) {
-	n.Machine, n.Paused, n.waiting = nil, false, nil
+	n.Machine, n.purse, n.Paused, n.waiting = nil, nil, false, nil
 	n.Life++
 }
 
 // Leave ends one in peace.
 func (c *Crowd) Leave(n *Node) {
+	if n.purse != nil {
+		n.purse.machine.Leave(n.now())
+		n.purse.said()
+	}
 	n.Machine.Leave(c.Now)
 	n.effects()
 	c.Kill(n)
@@ -184,6 +204,9 @@
 	}
 	n.Paused = false
 	n.wake() // its timer is long due; packets wait
+	if n.purse != nil {
+		n.purse.turn()
+	}
 	waiting := n.waiting
 	n.waiting = nil
 	for i := range waiting {
@@ -213,9 +236,13 @@
 	n.plan()
 }
 
-func (n *Node) heard(m *membership.Message) {
+func (n *Node) heard(m *talk.Message) {
 	at := n.Machine.At()
-	n.Machine.Heard(n.crowd.Now, m)
+	n.Machine.Heard(n.crowd.Now, &m.Message)
+	if m.Shares != nil && n.purse != nil {
+		n.purse.machine.Heard(n.now(), m.Shares)
+		n.purse.turn()
+	}
 	n.effects()
 	if n.Machine.At() != at {
 		n.plan()
@@ -231,33 +258,43 @@
 		}
 	}
 	for _, s := range n.Machine.Sends() {
-		if c.Packets++; c.Packets%sampled == 0 {
-			data, err := talk.Encode("crowd", &s.Message)
-			if err != nil {
-				c.Refused++
-			}
-			c.Bytes += sampled * float64(len(data))
-		}
-		to := c.at(s.To)
-		lost := c.chance.Float64() < c.Loss
-		wait := c.Way + c.Jitter*c.chance.Float64()
-		if to == nil || lost || c.sides != nil && !c.sides(n, to) {
-			continue
-		}
-		if to.late > 0 {
-			wait += to.late * c.chance.Float64()
+		n.send(s.To, talk.Message{Message: s.Message})
+	}
+}
+
+// send brings a datagram to whoever listens at an address.
+func (n *Node) send(address string, m talk.Message) {
+	c := n.crowd
+	if c.Packets++; c.Packets%sampled == 0 {
+		data, err := talk.Encode("crowd", &m)
+		if err != nil {
+			c.Refused++
 		}
-		c.After(wait, func() {
-			switch {
-			case to.Machine == nil:
-			case to.Paused:
-				if len(to.waiting) < socket {
-					to.waiting = append(to.waiting, s.Message)
-				}
-			default:
-				to.heard(&s.Message)
+		c.Bytes += sampled * float64(len(data))
+	}
+	to := c.at(address)
+	lost := c.chance.Float64() < c.Loss
+	wait := c.Way + c.Jitter*c.chance.Float64()
+	if to == nil || lost || c.sides != nil && !c.sides(n, to) {
+		return
+	}
+	if to.late > 0 {
+		wait += to.late * c.chance.Float64()
+	}
+	come := func() {
+		switch {
+		case to.Machine == nil:
+		case to.Paused:
+			if len(to.waiting) < socket {
+				to.waiting = append(to.waiting, m)
 			}
-		})
+		default:
+			to.heard(&m)
+		}
+	}
+	c.After(wait, come)
+	if c.Double > 0 && c.chance.Float64() < c.Double {
+		c.After(wait+c.Way+20*c.Jitter*c.chance.Float64(), come)
 	}
 }
 
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"sync/atomic"
 	"syscall"
@@ -174,8 +175,15 @@
 	return int(of * float64(cmp.Or(c.MemoryMB, someMemory)) * (1 << 20))
 }
 
-// clock gives the Unix clock in seconds.
-func clock() float64 { return float64(time.Now().UnixMicro()) / 1e6 }
+// began ties the Unix clock to one that nobody sets.
+var began = time.Now()
+
+// clock gives Unix seconds as they were at the start, and from then on only what has passed: a clock that is set back would
+// hold up all timers and make leases last, one that is set forward would end all that waits. It hurts where the clock was
+// wrong at the start: an engine's age is off by that until the next one.
+func clock() float64 {
+	return float64(began.UnixMicro())/1e6 + time.Since(began).Seconds()
+}
 
 func (l *Loop) stop() {
 	<-l.there
@@ -556,6 +564,10 @@
 		l.tell(l.clients[e.Client], e.What)
 	case router.OrderEngine:
 		if p := l.engines[e.Connection]; p != nil {
+			if d, is := e.What.(*traffic.Dispatch); is && !math.IsInf(e.By, 1) && clock() >= e.By {
+				l.post(router.OrderLate{Connection: e.Connection, ID: d.ID})
+				return
+			}
 			p.engine.Order(l.out, e.What)
 			l.write(p, l.out)
 		}
--- a/internal/loop/talk.go
+++ b/internal/loop/talk.go
@@ -12,6 +12,7 @@
 
 	"pitchfield/internal/membership"
 	"pitchfield/internal/router"
+	"pitchfield/internal/shares"
 	"pitchfield/internal/talk"
 )
 
@@ -19,6 +20,7 @@
 type Talk struct {
 	Fleet    string
 	Settings membership.Settings
+	Shares   *shares.Settings                  // of budgets that are divided with them; nil: none
 	Networks []netip.Prefix                    // who may talk
 	Via      map[netip.AddrPort]netip.AddrPort // by which address one is reached, where it is not the one it tells
 	Members  func(router.Members, Talked)      // is told how the fleet stands; nil: nobody asks
@@ -58,7 +60,7 @@
 		return
 	}
 	t.fd = fd
-	l.post(router.TalkSet{Settings: t.Settings})
+	l.post(router.TalkSet{Settings: t.Settings, Shares: t.Shares})
 }
 
 // talkCame takes a datagram in. It is checked whole; what is dropped is counted.
@@ -85,7 +87,7 @@
 		t.talked.Unreadable++
 		l.dropped("can't be read", c, err)
 	default:
-		l.post(router.TalkCame{Message: message})
+		l.post(router.TalkCame{Message: &message.Message, Shares: message.Shares})
 	}
 }
 
@@ -110,7 +112,7 @@
 // say sends a datagram. One that can't be sent at once is lost: whoever waits for it asks again.
 func (l *Loop) say(e router.Talk) {
 	t := l.talk
-	data, err := talk.Encode(t.Fleet, &e.Message)
+	data, err := talk.Encode(t.Fleet, &talk.Message{Message: e.Message, Shares: e.Shares})
 	if err == nil {
 		err = t.send(e.To, data)
 	}
--- a/internal/membership/hear.go
+++ b/internal/membership/hear.go
@@ -111,7 +111,8 @@
 			n++
 		}
 		n = max(n, 1)
-		m.out = append(m.out, Send{message.From.Address, Message{Kind: Tell, From: m.self, View: m.hash, Count: m.there, Rumours: all[:n:n]}})
+		m.out = append(m.out, Send{message.From.Address, m.Envelope()})
+		m.out[len(m.out)-1].Rumours = all[:n:n]
 		all = all[n:]
 	}
 }
--- a/internal/membership/machine.go
+++ b/internal/membership/machine.go
@@ -389,9 +389,15 @@
 	m.plan()
 }
 
+// Envelope is what any message to another router says first: who sends it and of which view.
+func (m *Machine) Envelope() Message {
+	return Message{Kind: Tell, From: m.self, View: m.hash, Count: m.there}
+}
+
 // send fills a message up with rumours. What is told of the one it goes to comes first.
 func (m *Machine) send(to string, message Message, of *record) {
-	message.From, message.View, message.Count = m.self, m.hash, m.there
+	e := m.Envelope()
+	message.From, message.View, message.Count = e.From, e.View, e.Count
 	room := m.settings.Rumours - 4*len(message.Hashes)
 	if of != nil && of.State != Alive {
 		message.Rumours = append(message.Rumours, of.Member)
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -11,7 +11,6 @@
 import (
 	"cmp"
 	"math"
-	"slices"
 )
 
 // State is what a member is held for.
@@ -55,7 +54,6 @@
 	Nack                    // of an Ask: the target does not answer me either, but I am here
 	Compare                 // these are the hashes of my buckets: tell me of those that differ
 	Tell                    // rumours alone
-	kinds
 )
 
 // Message is one datagram. Rumours fill it up.
@@ -182,8 +180,3 @@
 func (m *Member) size() int { return 26 + len(m.Name) + len(m.Address) + len(m.By) }
 
 func byName(a, b Member) int { return cmp.Compare(a.Name, b.Name) }
-
-func sorted(members []Member) []Member {
-	slices.SortFunc(members, byName)
-	return members
-}
--- a/internal/router/dispatches.go
+++ b/internal/router/dispatches.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"math"
 	"slices"
 
 	"pitchfield/brain"
@@ -25,6 +26,7 @@
 	sentAt       float64
 	wroteAt      float64
 	endAt        float64
+	by           float64 // it has to be written before: a part of the fleet's budget ends then
 	written      bool
 	ended        bool
 	pages        []rows.Part // from the first on,
@@ -42,7 +44,7 @@
 }
 
 func (r *Router) dispatch(b *batch, e *engine, no int, wait float64) {
-	d := &dispatch{batch: b, no: no, engine: e, sentAt: r.now, endAt: r.now + wait, work: -1, memory: -1}
+	d := &dispatch{batch: b, no: no, engine: e, sentAt: r.now, endAt: r.now + wait, by: r.by(), work: -1, memory: -1}
 	b.dispatches = append(b.dispatches, d)
 	e.out++
 	d.timer = r.timers.add(d.endAt, d)
@@ -65,18 +67,20 @@
 	}
 	switch w := what.(type) {
 	case *dispatch:
+		if r.now >= w.by { // it waited for its connection
+			r.expired(w)
+			return
+		}
 		w.written, w.wroteAt = true, r.now
-		b := w.batch
-		r.do(OrderEngine{l.Number, &traffic.Dispatch{ID: b.id, Group: b.Group.Name, Mark: b.mark,
-			Wait: max(w.endAt-r.now, 0.001), Memory: b.memory, Statement: *b.said}})
+		r.do(OrderEngine{l.Number, w.order(r.now), w.by})
 	case *probe:
-		r.do(OrderEngine{l.Number, traffic.Probe{Tag: w.tag, Load: r.settings.Settings.Loads}})
+		r.do(OrderEngine{l.Number, traffic.Probe{Tag: w.tag, Load: r.settings.Settings.Loads}, math.Inf(1)})
 	}
 }
 
 func (r *Router) order(l *line, what traffic.Order) {
 	if l.Up {
-		r.do(OrderEngine{l.Number, what})
+		r.do(OrderEngine{l.Number, what, math.Inf(1)})
 	}
 }
 
--- a/internal/router/events.go
+++ b/internal/router/events.go
@@ -7,6 +7,7 @@
 	"pitchfield/internal/levels"
 	"pitchfield/internal/limits"
 	"pitchfield/internal/membership"
+	"pitchfield/internal/shares"
 	"pitchfield/internal/traffic"
 )
 
@@ -56,9 +57,17 @@
 		All      *limits.Budget          // of further dispatches of all batches, and
 		Engine   *limits.Budget          // to each engine; nil: none
 	}
-	TalkSet  struct{ Settings membership.Settings } // other routers may be talked to
-	TalkCame struct {                               // one of this fleet has said something; it has been checked whole
+	TalkSet struct { // other routers may be talked to
+		Settings membership.Settings
+		Shares   *shares.Settings // and budgets divided with them; nil: not
+	}
+	TalkCame struct { // one of this fleet has said something; it has been checked whole
 		Message *membership.Message
+		Shares  *shares.Message // that came with it; nil: nothing
+	}
+	OrderLate struct { // a dispatch was not written, since that was no longer allowed
+		Connection uint64
+		ID         string
 	}
 	LevelsSet struct { // the levels of reduced service that there are from now on
 		Levels levels.Settings
@@ -84,6 +93,7 @@
 func (RoutesSet) event()    {}
 func (TalkSet) event()      {}
 func (TalkCame) event()     {}
+func (OrderLate) event()    {}
 
 // Effect is one thing that the router asks for, in its order. Rows and chains in it are the doer's from then on, but
 // for the text of a dispatch, which is good until its Release.
@@ -108,6 +118,7 @@
 	OrderEngine struct {
 		Connection uint64
 		What       traffic.Order
+		By         float64 // once this time has come it is not written any more, but told by OrderLate
 	}
 	HoldEngine struct { // read no more of it, or go on
 		Connection uint64
@@ -126,6 +137,7 @@
 	Talk     struct {                            // a datagram to another router
 		To      string
 		Message membership.Message
+		Shares  *shares.Message // nil: nothing of that
 	}
 	TellMembers struct{ Members Members } // how the fleet stands, for whoever asks
 	Log         struct {
--- a/internal/router/path_test.go
+++ b/internal/router/path_test.go
@@ -73,7 +73,7 @@
 		case router.Release:
 			w.Chain.Release()
 		case router.Talk:
-			_, err := talk.Encode("fleet", &w.Message)
+			_, err := talk.Encode("fleet", &talk.Message{Message: w.Message, Shares: w.Shares})
 			require.NoError(p.t, err)
 		case router.Dial:
 			if p.engine == nil {
@@ -252,11 +252,11 @@
 			for n := range b.N {
 				one(n + 1)
 				if talks && n%125 == 0 {
-					data, err := talk.Encode("fleet", &membership.Message{Kind: membership.Ping, From: member(n % 300), Number: uint32(n)})
+					data, err := talk.Encode("fleet", &talk.Message{Message: membership.Message{Kind: membership.Ping, From: member(n % 300), Number: uint32(n)}})
 					require.NoError(b, err)
 					message, err := talk.Decode("fleet", data)
 					require.NoError(b, err)
-					p.tell(router.TalkCame{Message: message})
+					p.tell(router.TalkCame{Message: &message.Message})
 					p.tell(router.TimerFired{})
 				}
 			}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -79,6 +79,7 @@
 	ofAll, further *limits.Budget // of further dispatches: of all batches, and to each engine
 
 	members *members // of its fleet; nil: there is no talk
+	parts   *parts   // of what the fleet divides; nil: the division is fixed
 
 	stopAt, killAt float64 // 0: not stopping
 	exited         bool
@@ -217,7 +218,9 @@
 	case TalkSet:
 		r.setTalk(e)
 	case TalkCame:
-		r.talkCame(e.Message)
+		r.talkCame(e)
+	case OrderLate:
+		r.orderLate(e.Connection, e.ID)
 	case TimerFired:
 		if late := r.now - r.timerAt; late > lateTimer {
 			r.log(Warn, "woken late", "by", late)
@@ -272,6 +275,9 @@
 		r.brain.Woken()
 	}
 	r.pull()
+	if r.parts != nil {
+		r.partsTurn()
+	}
 	r.stopping()
 	if at := min(r.timers.next(), r.wakeAt); at < r.timerAt {
 		r.timerAt = at
@@ -310,6 +316,7 @@
 		r.membersDue()
 	case membersTold:
 		r.tellMembers()
+	case partsDue: // the end of this turn looks after it
 	case stopCheck:
 	}
 }
--- /dev/null
+++ b/internal/router/shares.go
@@ -0,0 +1,113 @@
+package router
+
+import (
+	"math"
+
+	"pitchfield/internal/shares"
+	"pitchfield/internal/traffic"
+)
+
+// parts is what this router has of budgets that the fleet divides among its routers. It is there only where an installation
+// wants it.
+type parts struct {
+	machine *shares.Machine
+	timer   *timer
+	at      float64 // of the timer
+}
+
+type partsDue struct{}
+
+// setShares puts the division that moves in place of the fixed one.
+func (r *Router) setShares(s *shares.Settings, self shares.ID) {
+	r.parts = &parts{machine: shares.New(*s, self, r.brain.Fixed(), r.settings.Seed, r.now)}
+	r.brain.Divide(r.parts.machine)
+	r.log(Info, "shares", "keepers", s.Keepers, "firm", s.Firm)
+}
+
+// partsTurn asks for what the module has wanted, and lets it look again where something came. What is for oneself comes at
+// once, so there may be more than one round.
+func (r *Router) partsTurn() {
+	p := r.parts
+	for range 4 {
+		if !p.machine.Wanted() && r.now < p.machine.At() {
+			break
+		}
+		p.machine.Wake(r.now)
+		if !p.machine.Came() {
+			break
+		}
+		r.brain.Granted()
+		r.pull()
+	}
+	r.partsSaid()
+}
+
+// partsSaid does what the machine asks for, and sets its next time.
+func (r *Router) partsSaid() {
+	p := r.parts
+	for _, s := range p.machine.Sends() {
+		r.members.said++
+		said := s.Message
+		r.do(Talk{s.To, r.members.machine.Envelope(), &said})
+	}
+	for _, n := range p.machine.Notes() {
+		level := Info
+		if n.Loud {
+			level = Warn
+		}
+		r.log(level, n.Text, n.Fields...)
+	}
+	if at := p.machine.At(); at != p.at || p.timer == nil || p.timer.index < 0 {
+		r.timers.stop(p.timer)
+		p.timer, p.at = nil, at
+		if at < farOff {
+			p.timer = r.timers.add(at, partsDue{})
+		}
+	}
+}
+
+// partsCame takes in what another router says of shares.
+func (r *Router) partsCame(m *shares.Message) {
+	p := r.parts
+	if p == nil {
+		return
+	}
+	p.machine.Heard(r.now, m)
+	if p.machine.Came() {
+		r.brain.Granted()
+	}
+	r.partsSaid()
+}
+
+// by is when the dispatch that the module has just decided has to be on its way.
+func (r *Router) by() float64 {
+	if r.parts == nil {
+		return math.Inf(1)
+	}
+	return r.parts.machine.Ends()
+}
+
+// orderLate: what was ordered was not written, since the part of the fleet's budget by which it was decided had ended by then:
+// this process stood still in between. It never ran, and goes back.
+func (r *Router) orderLate(number uint64, id string) {
+	if l := r.connections[number]; l != nil {
+		if d, is := l.Get(id).(*dispatch); is && !d.ended {
+			r.expired(d)
+		}
+	}
+}
+
+func (r *Router) expired(d *dispatch) {
+	r.log(Warn, "its part has ended before it was written", "id", d.batch.id, "engine", d.engine.name, "late", r.now-d.by)
+	d.written = false
+	id, l := d.batch.id, d.line
+	r.ended(d, outcomes[Stopped].unwritten, nil)
+	l.Close(id, false, r.now)
+	r.rest(l)
+}
+
+// dispatchOrder words a dispatch.
+func (d *dispatch) order(now float64) *traffic.Dispatch {
+	b := d.batch
+	return &traffic.Dispatch{ID: b.id, Group: b.Group.Name, Mark: b.mark, Wait: max(d.endAt-now, 0.001), Memory: b.memory, Statement: *b.said}
+}
--- /dev/null
+++ b/internal/shares/bursar.go
@@ -0,0 +1,231 @@
+package shares
+
+import (
+	"cmp"
+	"math"
+	"slices"
+)
+
+// book is what the bursar has given of one budget. What was given counts until its lease has ended on the slowest clock, and
+// what may have been done with it has had its rest; of one that is told done, only what was used, and its rest from now on.
+type book struct {
+	key     Key
+	whole   float64 // the least that was told within a rest
+	next    float64 // the least since nextAt: it takes the place of whole when that is old
+	nextAt  float64
+	rest    float64
+	openAt  float64 // what the bursar before gave may count until then
+	given   map[holder]*credit
+	sum     units   // of those
+	first   float64 // when the next of them ends, or sooner
+	waiting []*wait // in the order in which they came
+	usedAt  float64
+}
+
+// units are millionths: what is added and taken away a million times has to come out even.
+type units int64
+
+func toUnits(amount float64) units { return units(math.Ceil(min(max(amount, 0), 1e12) * 1e6)) }
+
+// holder names a credit.
+type holder struct {
+	ID
+	Number uint64
+}
+
+type credit struct {
+	amount units
+	until  float64
+	lease  float64
+	try    uint32
+	done   bool
+}
+
+// wait is an asking that there was no room for.
+type wait struct {
+	holder
+	item  Item
+	to    string
+	since float64
+	heard float64 // when it was last asked again
+}
+
+// bursar is the part of whoever holds the office.
+type bursar struct {
+	*Settings
+	books map[Key]*book // tidy deletes
+}
+
+// tidy drops books of which nothing counts any more.
+func (b *bursar) tidy(now float64) {
+	for key, k := range b.books {
+		k.drop(now)
+		if len(k.given) == 0 && len(k.waiting) == 0 && now > k.usedAt+max(4*k.rest, 10) && now > k.openAt {
+			delete(b.books, key)
+		}
+	}
+}
+
+// drop forgets what no longer counts.
+func (k *book) drop(now float64) {
+	if now < k.first {
+		return
+	}
+	k.first = math.Inf(1)
+	for of, c := range k.given {
+		if now >= c.until {
+			k.take(of)
+		} else {
+			k.first = min(k.first, c.until)
+		}
+	}
+}
+
+// give and take are all that changes the sum.
+func (k *book) give(to holder, c *credit) {
+	k.take(to)
+	k.given[to] = c
+	k.sum += c.amount
+	k.first = min(k.first, c.until)
+}
+
+func (k *book) take(from holder) {
+	if c := k.given[from]; c != nil {
+		k.sum -= c.amount
+		delete(k.given, from)
+	}
+}
+
+// pool is what the bursar may give of a whole.
+func (b *bursar) pool(k *book) units { return units(k.whole * (1 - b.Firm) * 1e6) }
+
+// of gives the book of a budget. wonAt is since when this office lasts: what an earlier bursar gave has ended by then, or
+// where it yielded within a lease, and counts for a rest more.
+func (b *bursar) of(now, wonAt float64, i *Item) *book {
+	k := b.books[i.Key]
+	if k == nil {
+		k = &book{key: i.Key, whole: i.Whole, next: i.Whole, nextAt: now, given: map[holder]*credit{}, first: math.Inf(1)}
+		b.books[i.Key] = k
+	}
+	k.usedAt = now
+	k.rest = max(k.rest, i.Rest)
+	k.openAt = wonAt + b.longer(b.Lease+k.rest)
+	// The least that anybody tells holds; a higher one only once nobody has told the lower for a rest.
+	if now > k.nextAt+max(k.rest, b.Lease) {
+		k.whole, k.next, k.nextAt = k.next, i.Whole, now
+	}
+	k.next = min(k.next, i.Whole)
+	k.whole = min(k.whole, i.Whole)
+	return k
+}
+
+// ask takes what one asks for, and gives what can be answered at once, and the books that somebody waits for or that have more room.
+func (b *bursar) ask(now, wonAt float64, from ID, at string, items []Item) (answers []Item, moved []*book) {
+	for _, i := range items {
+		of := holder{from, i.Number}
+		if i.Done { // it tells no whole, and a book that is not there has nothing of it
+			answers = append(answers, Item{Number: i.Number, Key: i.Key, Done: true})
+			k := b.books[i.Key]
+			if k == nil {
+				continue
+			}
+			if c := k.given[of]; c != nil && !c.done {
+				if used := min(c.amount, toUnits(i.Amount)); used > 0 {
+					k.give(of, &credit{amount: used, until: min(c.until, now+b.longer(k.rest+b.Write)), done: true})
+				} else {
+					k.take(of)
+				}
+				moved = append(moved, k)
+			}
+			k.waiting = slices.DeleteFunc(k.waiting, func(w *wait) bool { return w.holder == of })
+			continue
+		}
+		k := b.of(now, wonAt, &i)
+		k.drop(now)
+		c := k.given[of]
+		switch {
+		case c != nil: // the answer was lost; the lease runs from the asking that was answered
+			if !c.done {
+				answers = append(answers, Item{Number: i.Number, Try: c.try, Key: i.Key, Amount: float64(c.amount) / 1e6, Lease: c.lease})
+			}
+		case toUnits(i.Amount) > b.pool(k):
+			answers = append(answers, Item{Number: i.Number, Try: i.Try, Key: i.Key, Never: true})
+		default:
+			n := slices.IndexFunc(k.waiting, func(w *wait) bool { return w.holder == of })
+			if n >= 0 {
+				k.waiting[n].item, k.waiting[n].heard = i, now
+			} else if len(k.waiting) < b.Pending {
+				k.waiting = append(k.waiting, &wait{of, i, at, now, now})
+			}
+			moved = append(moved, k)
+		}
+	}
+	return answers, moved
+}
+
+// serve gives what there is room for, in the order in which it was asked for: who waits for much is passed by only as long as
+// it has not waited for long.
+func (b *bursar) serve(now, office float64, k *book) (out []Send) {
+	k.drop(now)
+	reply := func(w *wait, i Item) {
+		i.Number, i.Try, i.Key = w.Number, w.item.Try, k.key
+		out = append(out, Send{w.to, Message{Kind: Reply, Items: []Item{i}}})
+	}
+	k.waiting = slices.DeleteFunc(k.waiting, func(w *wait) bool { return now > w.heard+4*b.Again })
+	lease := min(b.Lease, (office-now)/(1+2*b.Drift))
+	if now < k.openAt || lease < b.Again {
+		return nil
+	}
+	free := b.pool(k) - k.sum
+	for n := 0; n < len(k.waiting); {
+		w := k.waiting[n]
+		amount := toUnits(w.item.Amount)
+		if amount > b.pool(k) { // the whole has become less
+			reply(w, Item{Never: true})
+			k.waiting = slices.Delete(k.waiting, n, n+1)
+			continue
+		}
+		if amount > free {
+			if now > w.since+k.rest/2 { // nothing goes past it any more
+				break
+			}
+			n++
+			continue
+		}
+		free -= amount
+		k.give(w.holder, &credit{amount: amount, until: now + b.longer(lease+k.rest), lease: lease, try: w.item.Try})
+		reply(w, Item{Amount: float64(amount) / 1e6, Lease: lease})
+		k.waiting = slices.Delete(k.waiting, n, n+1)
+	}
+	return out
+}
+
+// next is when something that waits may find room.
+func (b *bursar) next(now float64) float64 {
+	at := math.Inf(1)
+	for _, k := range b.books {
+		if len(k.waiting) == 0 {
+			continue
+		}
+		if now < k.openAt {
+			at = min(at, k.openAt)
+			continue
+		}
+		at = min(at, k.first, now+b.Again) // who no longer asks goes
+	}
+	return at
+}
+
+// inOrder gives the books in one order.
+func (b *bursar) inOrder() []*book {
+	out := make([]*book, 0, len(b.books))
+	for _, k := range b.books {
+		out = append(out, k)
+	}
+	slices.SortFunc(out, func(a, b *book) int { return compareKeys(a.key, b.key) })
+	return out
+}
+
+func compareKeys(a, b Key) int {
+	return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Of, b.Of), cmp.Compare(a.At, b.At))
+}
--- /dev/null
+++ b/internal/shares/machine.go
@@ -0,0 +1,584 @@
+package shares
+
+import (
+	"cmp"
+	"math"
+	"math/rand/v2"
+	"slices"
+)
+
+// Machine is one router's part: it holds credits, may be a keeper, and may be the bursar. Its methods are called with times that
+// do not fall; none may be called beside another. It is Parts for the decision module.
+type Machine struct {
+	Settings
+	self   ID
+	firm   *Plain
+	whole  float64 // for each core, over all routers
+	window float64
+	random *rand.Rand
+	now    float64
+
+	keeper *keeper // nil: this router is none
+	bursar bursar
+	tidyAt float64
+
+	budgets map[Key]*budget // forget deletes
+	numbers uint64
+	tell    []told // of credits that are done, until that is answered
+	wanted  bool   // something has been wanted since the last Wake
+	askAt   float64
+	at      string  // where the bursar is held to be; empty: not known
+	sentAt  float64 // the first asking that nobody has answered; 0: none
+	turn    int     // which keeper is asked next
+	forget  float64
+
+	ends float64 // of what was spent last
+	came bool    // a credit, since that was last asked
+
+	out   []Send
+	notes []Note
+	stats Stats
+}
+
+// budget is what this router has of one.
+type budget struct {
+	start    Start
+	whole    float64
+	credits  []*given
+	asking   *asking
+	wantSum  float64 // since the last Wake
+	wantMost float64
+	wantAt   float64
+	neverAt  float64 // so much is more than the whole bears
+	never    float64
+	freeAt   float64 // when something was last given there
+}
+
+// given is a credit in hand.
+type given struct {
+	number uint64
+	left   float64
+	used   float64
+	until  float64
+}
+
+// asking is for one that has not come.
+type asking struct {
+	item   Item
+	sent   map[uint32]float64 // when each try was sent; the last few
+	wanted float64
+	next   float64
+}
+
+// told is what the bursar has to be told of a credit that is done.
+type told struct {
+	item  Item
+	again float64
+	until float64 // by then it knows without being told
+}
+
+// Stats count what has been, since the start.
+type Stats struct {
+	Asked, Given, Returned, Lapsed, Never int
+	Sent, Heard                           int
+	Used, Firm                            float64 // amounts: with credits, and of the firm part
+	Waited                                float64 // seconds between wish and credit, over all that were given
+}
+
+const (
+	mostItems  = 16 // on one message
+	mostTells  = 256
+	mostTries  = 8
+	spacing    = 0.005 // between two messages to the bursar
+	keepBudget = 30.0
+	tidyEvery  = 1.0
+)
+
+// New makes one. fixed is the division without talk, of which the firm share stays.
+func New(s Settings, self ID, fixed Fixed, seed uint64, now float64) *Machine {
+	m := &Machine{Settings: s, self: self, whole: fixed.Whole, window: fixed.Window + overlap, random: rand.New(rand.NewPCG(seed, 0x736861726573)),
+		now: now, ends: math.Inf(1), bursar: bursar{Settings: &s, books: map[Key]*book{}}, budgets: map[Key]*budget{}}
+	m.bursar.Settings = &m.Settings
+	fixed.Whole *= s.Firm
+	if s.Firm <= 0 {
+		fixed.Routers = 0
+	}
+	m.firm = NewPlain(fixed)
+	if s.rank(s.Listen) >= 0 {
+		// What an earlier start has promised may still hold.
+		m.keeper = &keeper{Settings: &m.Settings, random: m.random, quiet: now + s.longer(s.longer(s.Term))}
+	}
+	return m
+}
+
+func (m *Machine) clock(now float64) { m.now = max(m.now, now) }
+
+func (m *Machine) note(loud bool, text string, fields ...any) {
+	m.notes = append(m.notes, Note{text, loud, fields})
+}
+
+// Sends gives what is to be sent, once.
+func (m *Machine) Sends() []Send {
+	out := m.out
+	m.out = nil
+	return out
+}
+
+// Notes gives what has changed, once.
+func (m *Machine) Notes() []Note {
+	out := m.notes
+	m.notes = nil
+	return out
+}
+
+// Came tells whether credits have come since it was last asked.
+func (m *Machine) Came() bool {
+	came := m.came
+	m.came = false
+	return came
+}
+
+// Wanted tells whether something has been wanted that Wake has not seen.
+func (m *Machine) Wanted() bool { return m.wanted }
+
+// send words a message. What is for oneself goes by no network.
+func (m *Machine) send(to string, message Message) {
+	message.From, message.At, message.Roll = m.self, m.Listen, m.roll()
+	if to == m.Listen {
+		m.heard(&message)
+		return
+	}
+	m.stats.Sent++
+	m.out = append(m.out, Send{to, message})
+}
+
+// budget gives what this router knows of one.
+func (m *Machine) budget(of Start) *budget {
+	key := ColdKey(of)
+	b := m.budgets[key]
+	if b == nil {
+		b = &budget{start: of, whole: m.whole * of.Cores, never: math.Inf(1)}
+		m.budgets[key] = b
+	}
+	return b
+}
+
+// Room holds a wish against the firm part and the credits in hand.
+func (m *Machine) Room(now float64, to Start, work float64) bool {
+	m.clock(now)
+	if m.Firm > 0 && m.firm.Room(m.now, to, work) {
+		return true
+	}
+	b := m.budgets[ColdKey(to)]
+	return b != nil && b.left(m.now) >= work
+}
+
+// left is what credits in hand still have. What has ended counts no longer, whenever that is seen.
+func (b *budget) left(now float64) (sum float64) {
+	for _, g := range b.credits {
+		if now < g.until {
+			sum += g.left
+		}
+	}
+	return sum
+}
+
+// Spend counts what is sent: of the firm part where it bears it all, else of credits, the one that ends first before the others.
+func (m *Machine) Spend(now float64, to Start, work float64) {
+	m.clock(now)
+	if m.Firm > 0 && m.firm.Room(m.now, to, work) {
+		m.firm.Spend(m.now, to, work)
+		m.stats.Firm += work
+		m.ends = m.now + overlap
+		return
+	}
+	b := m.budget(to)
+	m.stats.Used += work
+	b.wantAt, m.ends = m.now, math.Inf(1)
+	for _, g := range b.credits {
+		if m.now < g.until && work > 0 {
+			part := min(g.left, work)
+			g.left, g.used, work = g.left-part, g.used+part, work-part
+			m.ends = min(m.ends, g.until, m.now+m.Write)
+		}
+	}
+}
+
+// Ends is when what was spent last has to be on its way, told once: a credit holds no longer. Infinite: nothing was spent that
+// ends.
+func (m *Machine) Ends() float64 {
+	at := m.ends
+	m.ends = math.Inf(1)
+	return at
+}
+
+// Want tells of a batch that waits.
+func (m *Machine) Want(now float64, to Start, work float64) {
+	m.clock(now)
+	if !(work > 0) || work > m.whole*to.Cores*(1-m.Firm) {
+		return
+	}
+	b := m.budget(to)
+	if work >= b.never && m.now < b.neverAt {
+		return
+	}
+	b.wantSum, b.wantMost, b.wantAt = b.wantSum+work, max(b.wantMost, work), m.now
+	m.wanted = true
+}
+
+// Wake does what is due, and asks for what has been wanted.
+func (m *Machine) Wake(now float64) {
+	m.clock(now)
+	if m.keeper != nil {
+		m.office()
+	}
+	m.returns()
+	m.wishes()
+	m.speak()
+	if m.now >= m.forget {
+		m.forget = m.now + tidyEvery
+		for key, b := range m.budgets {
+			if b.asking == nil && len(b.credits) == 0 && m.now > b.wantAt+keepBudget {
+				delete(m.budgets, key)
+			}
+		}
+	}
+}
+
+// office claims and renews, and gives to those who wait.
+func (m *Machine) office() {
+	k := m.keeper
+	was := k.wonAt > 0
+	if message, due := k.step(m.now, m.self); due {
+		m.keepers(message)
+	}
+	m.settle(was)
+	if !k.office(m.now) {
+		return
+	}
+	if m.now >= m.tidyAt {
+		m.tidyAt = m.now + tidyEvery
+		m.bursar.tidy(m.now)
+	}
+	for _, b := range m.bursar.inOrder() {
+		if len(b.waiting) > 0 {
+			m.deliver(m.bursar.serve(m.now, k.mine, b))
+		}
+	}
+}
+
+// settle notes who has the office, and drops the books of one that has ended.
+func (m *Machine) settle(was bool) {
+	is := m.keeper.office(m.now)
+	if is == was {
+		return
+	}
+	m.note(true, "bursar", "is", is, "until", m.keeper.mine, "books", len(m.bursar.books))
+	m.bursar.books = map[Key]*book{}
+	if is {
+		m.at = m.Listen
+	} else if m.at == m.Listen {
+		m.at = ""
+	}
+}
+
+func (m *Machine) keepers(message Message) {
+	for _, to := range m.Keepers {
+		if to != m.Listen {
+			m.send(to, message)
+		}
+	}
+}
+
+func (m *Machine) deliver(sends []Send) {
+	for _, s := range sends {
+		s.Bursar = m.Listen
+		m.send(s.To, s.Message)
+	}
+}
+
+// Heard takes in a message of this fleet. It has been checked for its form.
+func (m *Machine) Heard(now float64, message *Message) {
+	m.clock(now)
+	if message.Roll != m.roll() || message.From == m.self {
+		return
+	}
+	m.stats.Heard++
+	m.heard(message)
+}
+
+func (m *Machine) heard(message *Message) {
+	k := m.keeper
+	switch message.Kind {
+	case Claim, Yield:
+		if k == nil {
+			return
+		}
+		was := k.office(m.now)
+		if was && message.Kind == Claim { // we have most of the promises: this one is behind
+			m.send(message.At, Message{Kind: Refusal, Number: message.Number, Bursar: m.Listen})
+			return
+		}
+		if answer := k.hear(m.now, message); answer != 0 {
+			m.send(message.At, Message{Kind: answer, Number: message.Number, Bursar: k.toAt})
+		}
+	case Promise, Refusal:
+		if k == nil {
+			return
+		}
+		was := k.office(m.now)
+		lost := k.answered(m.now, message)
+		m.settle(was)
+		if lost {
+			m.keepers(k.giveUp(m.now, m.self))
+		}
+	case Ask:
+		m.asked(message)
+	case Reply:
+		m.replied(message)
+	}
+}
+
+// asked answers as the bursar, or says who that is.
+func (m *Machine) asked(message *Message) {
+	k := m.keeper
+	if k == nil || !k.office(m.now) {
+		reply := Message{Kind: Reply}
+		if k != nil && m.now < k.until && k.toAt != m.Listen {
+			reply.Bursar = k.toAt
+		}
+		m.send(message.At, reply)
+		return
+	}
+	answers, moved := m.bursar.ask(m.now, k.wonAt, message.From, message.At, message.Items)
+	if len(answers) > 0 {
+		m.send(message.At, Message{Kind: Reply, Bursar: m.Listen, Items: answers})
+	} else {
+		m.send(message.At, Message{Kind: Reply, Bursar: m.Listen})
+	}
+	for _, b := range moved {
+		m.deliver(m.bursar.serve(m.now, k.mine, b))
+	}
+}
+
+// replied takes credits in.
+func (m *Machine) replied(message *Message) {
+	m.sentAt = 0
+	if message.Bursar != m.at {
+		m.at, m.askAt = message.Bursar, m.now+spacing
+		if m.at == "" {
+			m.turn++
+			m.askAt = m.now + m.Again
+		}
+	}
+	for _, i := range message.Items {
+		if i.Done {
+			m.tell = slices.DeleteFunc(m.tell, func(t told) bool { return t.item.Number == i.Number })
+			continue
+		}
+		m.credit(i)
+	}
+}
+
+func (m *Machine) credit(i Item) {
+	b := m.budgets[i.Key]
+	if b == nil || b.asking == nil || b.asking.item.Number != i.Number {
+		known := b != nil && slices.ContainsFunc(b.credits, func(g *given) bool { return g.number == i.Number }) ||
+			slices.ContainsFunc(m.tell, func(t told) bool { return t.item.Number == i.Number })
+		if !known && i.Amount > 0 { // an old asking was answered: it is not used, and goes back
+			m.done(i.Key, i.Number, 0, m.now+i.Lease)
+		}
+		return
+	}
+	a := b.asking
+	sent, known := a.sent[i.Try]
+	if i.Never {
+		b.asking, b.never, b.neverAt = nil, a.item.Amount, m.now+m.window
+		m.stats.Never++
+		return
+	}
+	if !known { // so old that it is not known when it was asked: it goes back
+		b.asking = nil
+		m.done(i.Key, i.Number, 0, m.now+i.Lease)
+		return
+	}
+	b.asking = nil
+	g := &given{number: i.Number, left: min(i.Amount, a.item.Amount), until: sent + i.Lease}
+	if m.now >= g.until {
+		m.done(i.Key, i.Number, 0, m.now)
+		return
+	}
+	m.stats.Given++
+	m.came = true
+	m.stats.Waited += m.now - a.wanted
+	b.freeAt, b.never = m.now, math.Inf(1)
+	b.credits = append(b.credits, g)
+	slices.SortStableFunc(b.credits, func(x, y *given) int { return cmp.Compare(x.until, y.until) })
+}
+
+// done tells the bursar that nothing more is used of a credit.
+func (m *Machine) done(key Key, number uint64, used, until float64) {
+	if len(m.tell) == mostTells { // it lapses there by itself
+		m.tell = slices.Delete(m.tell, 0, 1)
+	}
+	m.tell = append(m.tell, told{Item{Number: number, Key: key, Amount: used, Done: true, Rest: m.window}, 0, until + m.longer(m.window)})
+}
+
+// returns ends credits that have ended, are used up, or that nobody wants any more.
+func (m *Machine) returns() {
+	for _, key := range m.keys() {
+		b := m.budgets[key]
+		b.credits = slices.DeleteFunc(b.credits, func(g *given) bool {
+			switch {
+			case m.now >= g.until:
+				m.stats.Lapsed++
+			case g.left <= 1e-6:
+			case m.now > b.wantAt+m.Idle:
+				m.stats.Returned++
+			default:
+				return false
+			}
+			m.done(key, g.number, g.used, g.until)
+			return true
+		})
+	}
+}
+
+// keys are those of the budgets, in one order.
+func (m *Machine) keys() []Key {
+	out := make([]Key, 0, len(m.budgets))
+	for key := range m.budgets {
+		out = append(out, key)
+	}
+	slices.SortFunc(out, compareKeys)
+	return out
+}
+
+// wishes makes askings of what has been wanted: the largest batch, and more of them as long as that is a small part.
+func (m *Machine) wishes() {
+	m.wanted = false
+	for _, key := range m.keys() {
+		b := m.budgets[key]
+		most, sum := b.wantMost, b.wantSum
+		b.wantMost, b.wantSum = 0, 0
+		if most == 0 || b.asking != nil {
+			continue
+		}
+		amount := max(most, min(sum, b.whole*m.Largest)) - b.left(m.now)
+		if amount <= 0 {
+			continue
+		}
+		m.numbers++
+		m.stats.Asked++
+		b.asking = &asking{item: Item{Number: m.numbers, Key: key, Amount: amount, Whole: b.whole, Rest: m.window}, sent: map[uint32]float64{},
+			wanted: m.now, next: m.now}
+	}
+}
+
+// speak sends what is to be asked and told.
+func (m *Machine) speak() {
+	if m.now < m.askAt || len(m.Keepers) == 0 {
+		return
+	}
+	var items []Item
+	for i := range m.tell {
+		if t := &m.tell[i]; m.now >= t.again && len(items) < mostItems {
+			t.again = m.now + 2*m.Again
+			items = append(items, t.item)
+		}
+	}
+	m.tell = slices.DeleteFunc(m.tell, func(t told) bool { return m.now > t.until })
+	for _, key := range m.keys() {
+		b := m.budgets[key]
+		a := b.asking
+		if a == nil {
+			continue
+		}
+		if m.now > b.wantAt+2*m.Again { // nobody waits for it any more
+			m.done(key, a.item.Number, 0, m.now+m.Lease)
+			b.asking = nil
+			continue
+		}
+		if m.now >= a.next && len(items) < mostItems {
+			a.item.Try++
+			a.next = m.now + m.Again
+			a.sent[a.item.Try] = m.now
+			delete(a.sent, a.item.Try-mostTries)
+			items = append(items, a.item)
+		}
+	}
+	if len(items) == 0 {
+		return
+	}
+	to := m.at
+	if to != "" && m.sentAt > 0 && m.now > m.sentAt+4*m.Again { // it says nothing
+		to, m.at = "", ""
+		m.turn++
+	}
+	if to == "" {
+		to = m.Keepers[m.turn%len(m.Keepers)]
+		if m.sentAt > 0 && m.now > m.sentAt+2*m.Again {
+			m.turn++
+			m.sentAt = 0
+		}
+	}
+	if m.sentAt == 0 {
+		m.sentAt = m.now
+	}
+	m.askAt = m.now + spacing
+	m.send(to, Message{Kind: Ask, Items: items})
+}
+
+// At is when Wake is wanted next, if nothing comes.
+func (m *Machine) At() float64 {
+	at := math.Inf(1)
+	if k := m.keeper; k != nil {
+		switch {
+		case m.now < k.quiet:
+			at = min(at, k.quiet)
+		case k.office(m.now):
+			at = min(at, max(k.tryAt, m.now+spacing), k.mine)
+			at = min(at, max(m.bursar.next(m.now), m.now+spacing))
+		case k.promised(m.now, m.self):
+			at = min(at, k.until)
+		default:
+			at = min(at, max(k.first, k.tryAt, m.now+spacing))
+		}
+	}
+	for _, b := range m.budgets {
+		for _, g := range b.credits {
+			at = min(at, g.until, max(b.wantAt+m.Idle, m.now+spacing))
+		}
+		if b.asking != nil {
+			at = min(at, max(b.asking.next, m.askAt, m.now+spacing))
+		}
+	}
+	for _, t := range m.tell {
+		at = min(at, max(t.again, m.askAt, m.now+spacing))
+	}
+	return at
+}
+
+// Leave gives back all that is in hand, and the office: what was given from here ends by itself.
+func (m *Machine) Leave(now float64) {
+	m.clock(now)
+	for _, key := range m.keys() {
+		b := m.budgets[key]
+		for _, g := range b.credits {
+			m.done(key, g.number, g.used, g.until)
+		}
+		if b.asking != nil {
+			m.done(key, b.asking.item.Number, 0, m.now)
+		}
+		b.credits, b.asking = nil, nil
+	}
+	m.askAt = 0
+	m.speak()
+	if k := m.keeper; k != nil && k.number > 0 {
+		was := k.office(m.now)
+		yield := k.giveUp(m.now, m.self)
+		k.quiet = math.Inf(1)
+		m.settle(was)
+		m.keepers(yield)
+	}
+}
--- /dev/null
+++ b/internal/shares/shares.go
@@ -0,0 +1,222 @@
+// Package shares divides among the routers of a fleet what they may use of something only together: work that an engine which
+// has just started bears, say. It is pure: times, messages and wishes come in, messages and answers go out; it reads no clock,
+// opens no socket, and draws chance from its seed alone.
+//
+// There are two forms. Plain is a fixed division by the number of routers that settings tell, without talk. Machine moves
+// parts to where they are wanted: a bursar, who holds a lease from most of some named keepers, gives credits that end by
+// themselves and count on until what was done with them must be over. docs/shares.md has the proof and what it rests on.
+package shares
+
+import (
+	"fmt"
+	"math"
+	"slices"
+)
+
+// Start is one start of an engine: one that is replaced has a budget of its own.
+type Start struct {
+	Engine uint32
+	At     float64 // seconds; by the list
+	Cores  float64
+}
+
+// Parts is what the decision module asks about the budgets of engines that are cold.
+type Parts interface {
+	// Room tells whether so much work may be sent there now.
+	Room(now float64, to Start, work float64) bool
+	// Spend counts what is sent.
+	Spend(now float64, to Start, work float64)
+	// Want tells of a batch that waits since there was no room.
+	Want(now float64, to Start, work float64)
+}
+
+// Fixed says how a whole is divided when nobody talks. Times are seconds.
+type Fixed struct {
+	Whole   float64 // for each core, within Window, over all routers
+	Window  float64
+	Routers float64 // as settings tell; below 1: not known, so nobody may use anything
+	Index   int     // own number among them; below 0: not told
+	Sharers int     // no more than so many have a part of one engine's; the same at every router
+	Began   float64 // own start: an earlier one may have spent all
+}
+
+// overlap is how much longer than its window a use counts: what is sent last may come late.
+const overlap = 0.1
+
+// Plain is the fixed division.
+type Plain struct {
+	Fixed
+	part  float64          // for each core
+	spent map[uint32][]use // by engine; Spend deletes what no longer counts
+}
+
+type use struct{ at, work float64 }
+
+// NewPlain divides a whole.
+func NewPlain(f Fixed) *Plain {
+	p := &Plain{Fixed: f, spent: map[uint32][]use{}}
+	if f.Routers >= 1 {
+		p.part = f.Whole / min(f.Routers, float64(f.Sharers))
+	}
+	return p
+}
+
+// Room holds a wish against the own part. Few routers have it all, picked alike everywhere by engine, start and own number.
+func (p *Plain) Room(now float64, to Start, work float64) bool {
+	n, first := int(p.Routers), int(Mix(uint64(to.Engine), math.Float64bits(to.At))*p.Routers)
+	if now < p.Began+p.Window || p.Index < 0 || p.Index >= n || (p.Index-first+n)%n >= p.Sharers {
+		return false
+	}
+	room := p.part * to.Cores
+	for _, u := range p.spent[to.Engine] {
+		if u.at > now-p.Window-overlap {
+			room -= u.work
+		}
+	}
+	return work <= room
+}
+
+// Spend counts what is sent, and forgets what no longer counts.
+func (p *Plain) Spend(now float64, to Start, work float64) {
+	old := func(u use) bool { return u.at < now-p.Window-overlap }
+	if _, known := p.spent[to.Engine]; !known {
+		for engine, uses := range p.spent {
+			if old(uses[len(uses)-1]) {
+				delete(p.spent, engine)
+			}
+		}
+	}
+	p.spent[to.Engine] = append(slices.DeleteFunc(p.spent[to.Engine], old), use{now, work})
+}
+
+// Want changes nothing: there is nobody to ask.
+func (p *Plain) Want(float64, Start, float64) {}
+
+// Mix draws a number below 1 that is alike at every router.
+func Mix(a, b uint64) float64 {
+	h := a*0x9e3779b97f4a7c15 ^ b*0xc2b2ae3d27d4eb4f
+	h = (h ^ h>>29) * 0xbf58476d1ce4e5b9
+	return float64(h>>32) / (1 << 32)
+}
+
+// Kind is what a budget is of.
+type Kind uint8
+
+// The kinds.
+const (
+	ColdWork Kind = iota + 1
+	kinds
+)
+
+// Kinds has each kind once: what its amounts are, and over which time they are summed.
+var Kinds = map[Kind]struct{ Name, Unit, Window string }{
+	ColdWork: {"cold work", "core-seconds", "fall time"},
+}
+
+func (k Kind) String() string {
+	if of, known := Kinds[k]; known {
+		return of.Name
+	}
+	return fmt.Sprintf("kind %d", uint8(k))
+}
+
+// Key names a budget alike at every router.
+type Key struct {
+	Kind Kind
+	Of   uint32 // an engine
+	At   uint64 // the bits of the time of its start
+}
+
+// ColdKey names the budget of a start of an engine.
+func ColdKey(of Start) Key { return Key{ColdWork, of.Engine, math.Float64bits(of.At)} }
+
+// ID is one start of a router: a name used twice is two of them.
+type ID struct {
+	Name  string
+	Start uint64
+}
+
+// MessageKind is what a message is for.
+type MessageKind uint8
+
+// The kinds of messages.
+const (
+	Claim   MessageKind = iota + 1 // to a keeper: promise me that nobody else is the bursar
+	Promise                        // of a keeper, for the claim of that number
+	Refusal                        // of a keeper: another has my promise, or I have just started
+	Yield                          // to a keeper: I no longer want what you promised me for claims up to this number
+	Ask                            // to the bursar: these credits are wanted, those are done with
+	Reply                          // of the bursar, or of a keeper who is not: who is
+	messageKinds
+)
+
+// Message is one datagram.
+type Message struct {
+	Kind   MessageKind
+	From   ID
+	At     string // address of the sender
+	Roll   uint32 // hash of the keepers' list: those who were told other keepers have nothing to do with each other
+	Number uint64 // of a claim, and of what answers or ends it
+	Bursar string // address, where it is known
+	Items  []Item
+}
+
+// Item is about one credit.
+type Item struct {
+	Number uint64 // of its holder's
+	Try    uint32 // of asking for it; an answer has that of the asking that it answers, as the lease runs from there
+	Key    Key
+	Amount float64 // wanted, or given; of one that is done, used
+	Whole  float64 // of the budget, as the holder knows it
+	Rest   float64 // seconds that a use counts on
+	Lease  float64 // seconds for which it is given
+	Done   bool    // nothing more is used of it
+	Never  bool    // the whole does not bear it
+}
+
+// Send is a message that is to go to an address.
+type Send struct {
+	To string
+	Message
+}
+
+// Settings say how a machine goes about it. Times are seconds.
+type Settings struct {
+	Keepers []string // addresses of the routers that choose a bursar among themselves; the same at every router
+	Listen  string   // own address
+	Firm    float64  // share of each whole that stays divided as Plain does, whatever happens
+	Lease   float64  // of a credit
+	Term    float64  // of the bursar's office, unless it is renewed
+	Drift   float64  // no two clocks of the fleet differ by more in their rates
+	Write   float64  // what is spent has to be on its way by then: a connection may still have to be made
+	Again   float64  // an asking without an answer is sent again
+	Idle    float64  // a credit that nobody has wanted for so long goes back
+	Pending int      // askings that wait at the bursar for one budget, at the most
+	Largest float64  // share of a whole that is asked for at once, beyond what a single batch takes
+}
+
+// Defaults fit routers in one hall.
+func Defaults() Settings {
+	return Settings{Firm: 0.1, Lease: 1, Term: 2, Drift: 0.01, Write: 0.1, Again: 0.1, Idle: 0.1, Pending: 1024, Largest: 0.125}
+}
+
+// longer is a time of one's own that lasts longer than that time does on any other clock of the fleet.
+func (s *Settings) longer(t float64) float64 { return t * (1 + 2*s.Drift) }
+
+// roll is the hash of the keepers' list.
+func (s *Settings) roll() uint32 {
+	h := uint32(2166136261)
+	for _, k := range s.Keepers {
+		for _, c := range []byte(k + " ") {
+			h = (h ^ uint32(c)) * 16777619
+		}
+	}
+	return h
+}
+
+// Note is a change, for who looks on.
+type Note struct {
+	Text   string
+	Loud   bool
+	Fields []any
+}
--- a/internal/talk/talk.go
+++ b/internal/talk/talk.go
@@ -12,6 +12,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"pitchfield/internal/membership"
+	"pitchfield/internal/shares"
 )
 
 //go:generate go run ./generate
@@ -40,8 +41,14 @@
 var kindsIn = map[Kind]membership.Kind{Kind_PING: membership.Ping, Kind_ACK: membership.Ack, Kind_ASK: membership.Ask,
 	Kind_NACK: membership.Nack, Kind_COMPARE: membership.Compare}
 
+// Message is one datagram. Each tells who sent it and of his view, whatever else it is for.
+type Message struct {
+	membership.Message
+	Shares *shares.Message // nil: it is of membership alone
+}
+
 // Encode words a message. The error tells of one that is too long, which is a fault of ours.
-func Encode(fleet string, m *membership.Message) ([]byte, error) {
+func Encode(fleet string, m *Message) ([]byte, error) {
 	p := Packet{Version: version, Fleet: fleet, From: memberOut(&m.From), View: m.View, Count: uint32(m.Count), Kind: kindsOut[m.Kind],
 		Number: m.Number, Hashes: m.Hashes, Answer: m.Answer}
 	if m.Target.Name != "" {
@@ -50,6 +57,9 @@
 	for i := range m.Rumours {
 		p.Rumours = append(p.Rumours, memberOut(&m.Rumours[i]))
 	}
+	if m.Shares != nil {
+		p.Kind, p.Shares = Kind_SHARES, sharesOut(m.Shares)
+	}
 	out, err := proto.Marshal(&p)
 	if err != nil {
 		return nil, fmt.Errorf("talk: %w", err)
@@ -61,7 +71,7 @@
 }
 
 // Decode reads a datagram of a fleet.
-func Decode(fleet string, data []byte) (*membership.Message, error) {
+func Decode(fleet string, data []byte) (*Message, error) {
 	if len(data) > Largest {
 		return nil, fmt.Errorf("talk: %w: %d bytes", ErrTooLong, len(data))
 	}
@@ -72,11 +82,11 @@
 	if p.Fleet != fleet {
 		return nil, fmt.Errorf("talk: %w", ErrFleet)
 	}
-	wrong := func(what string) (*membership.Message, error) { return nil, fmt.Errorf("talk: %w: %s", ErrForm, what) }
+	wrong := func(what string) (*Message, error) { return nil, fmt.Errorf("talk: %w: %s", ErrForm, what) }
 	if p.Version == 0 {
 		return wrong("version")
 	}
-	m := &membership.Message{View: p.View, Count: int(p.Count), Number: p.Number, Hashes: p.Hashes, Answer: p.Answer}
+	m := &Message{Message: membership.Message{View: p.View, Count: int(p.Count), Number: p.Number, Hashes: p.Hashes, Answer: p.Answer}}
 	var known bool
 	if m.Kind, known = kindsIn[p.Kind]; !known {
 		m.Kind = membership.Tell
@@ -105,6 +115,11 @@
 		}
 		m.Rumours = append(m.Rumours, one)
 	}
+	if p.Kind == Kind_SHARES {
+		if m.Shares, known = sharesIn(p.Shares, &m.From); !known {
+			return wrong("what it says of shares")
+		}
+	}
 	return m, nil
 }
 
--- a/internal/talk/talk_test.go
+++ b/internal/talk/talk_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"math"
 	"strings"
 	"testing"
 
@@ -12,14 +13,15 @@
 	"google.golang.org/protobuf/proto"
 
 	"pitchfield/internal/membership"
+	"pitchfield/internal/shares"
 )
 
 func someone(name string) membership.Member {
 	return membership.Member{ID: membership.ID{Name: name, Start: 17}, Address: "127.0.0.1:7500", Incarnation: 3, State: membership.Alive}
 }
 
-func whole() *membership.Message {
-	m := &membership.Message{Kind: membership.Ask, From: someone("n1"), View: 0xfedcba9876543210, Count: 12, Number: 99, Target: someone("n2")}
+func whole() *Message {
+	m := &Message{Message: membership.Message{Kind: membership.Ask, From: someone("n1"), View: 0xfedcba9876543210, Count: 12, Number: 99, Target: someone("n2")}}
 	for i := range 30 {
 		r := someone(fmt.Sprint("n", i))
 		r.State, r.By = membership.Suspect, "n1"
@@ -34,7 +36,7 @@
 	got, err := Decode("fleet", data)
 	require.NoError(t, err)
 	assert.Equal(t, whole(), got)
-	compare := &membership.Message{Kind: membership.Compare, From: someone("n1"), Hashes: make([]uint32, membership.Buckets), Answer: true}
+	compare := &Message{Message: membership.Message{Kind: membership.Compare, From: someone("n1"), Hashes: make([]uint32, membership.Buckets), Answer: true}}
 	if data, err = Encode("fleet", compare); assert.NoError(t, err) {
 		got, err = Decode("fleet", data)
 		require.NoError(t, err)
@@ -46,6 +48,48 @@
 	assert.ErrorIs(t, err, ErrTooLong)
 }
 
+func TestWhatIsSaidOfSharesComesBackAsItWas(t *testing.T) {
+	from := someone("n1")
+	m := &Message{Message: membership.Message{Kind: membership.Tell, From: from, View: 7, Count: 3}, Shares: &shares.Message{Kind: shares.Ask,
+		From: shares.ID{Name: from.Name, Start: from.Start}, At: from.Address, Roll: 9, Number: 4, Bursar: "127.0.0.1:7501",
+		Items: []shares.Item{{Number: 1 << 40, Try: 2, Key: shares.ColdKey(shares.Start{Engine: 7, At: 1e9}), Amount: 1.5, Whole: 6, Rest: 1.1},
+			{Number: 8, Key: shares.ColdKey(shares.Start{Engine: 8, At: 1e9}), Done: true}}}}
+	data, err := Encode("fleet", m)
+	require.NoError(t, err)
+	got, err := Decode("fleet", data)
+	require.NoError(t, err)
+	assert.Equal(t, m, got)
+	for name, spoil := range map[string]func(s *Shares){
+		"no shares":          nil,
+		"no number":          func(s *Shares) { s.Items[0].Amount = math.NaN() },
+		"below nothing":      func(s *Shares) { s.Items[1].Amount = -1 },
+		"for ever":           func(s *Shares) { s.Items[0].Lease = math.Inf(1) },
+		"too many":           func(s *Shares) { s.Items = make([]*Credit, 65) },
+		"a bursar by a name": func(s *Shares) { s.Bursar = "localhost:80" },
+	} {
+		var p Packet
+		require.NoError(t, proto.Unmarshal(data, &p))
+		if spoil == nil {
+			p.Shares = nil
+		} else {
+			spoil(p.Shares)
+		}
+		if spoiled, err := proto.Marshal(&p); assert.NoError(t, err) {
+			_, err = Decode("fleet", spoiled)
+			assert.ErrorIs(t, err, ErrForm, name)
+		}
+	}
+	var p Packet
+	require.NoError(t, proto.Unmarshal(data, &p))
+	p.Shares.Items[0].Kind, p.Shares.Kind = 200, 99
+	data, err = proto.Marshal(&p)
+	require.NoError(t, err)
+	got, err = Decode("fleet", data)
+	require.NoError(t, err)
+	assert.Len(t, got.Shares.Items, 1, "a budget of a kind that is not known is a newer version's")
+	assert.Zero(t, got.Shares.Kind)
+}
+
 func TestWhatANewerVersionAddsIsPassedOver(t *testing.T) {
 	data, err := Encode("fleet", whole())
 	require.NoError(t, err)
@@ -109,9 +153,9 @@
 func FuzzDecode(f *testing.F) {
 	data, _ := Encode("fleet", whole())
 	f.Add(data)
-	data, _ = Encode("fleet", &membership.Message{Kind: membership.Compare, From: someone("n3"), Hashes: make([]uint32, membership.Buckets)})
+	data, _ = Encode("fleet", &Message{Message: membership.Message{Kind: membership.Compare, From: someone("n3"), Hashes: make([]uint32, membership.Buckets)}})
 	f.Add(data)
-	data, _ = Encode("fleet", &membership.Message{Kind: membership.Ping, From: someone("me"), Number: 4})
+	data, _ = Encode("fleet", &Message{Message: membership.Message{Kind: membership.Ping, From: someone("me"), Number: 4}})
 	f.Add(data)
 	f.Fuzz(func(t *testing.T, data []byte) {
 		m, err := Decode("fleet", data)
@@ -127,9 +171,9 @@
 		s.Self, s.Listen = membership.ID{Name: "me", Start: 5}, "127.0.0.1:7400"
 		machine := membership.New(s, 1, 100)
 		for i := range 3 {
-			machine.Heard(100+float64(i), m)
+			machine.Heard(100+float64(i), &m.Message)
 			for _, out := range machine.Sends() {
-				_, err := Encode("fleet", &out.Message)
+				_, err := Encode("fleet", &Message{Message: out.Message})
 				require.NoError(t, err)
 			}
 			machine.Wake(machine.At())
--- a/internal/torture/talk.go
+++ b/internal/torture/talk.go
@@ -84,7 +84,7 @@
 	defer c.Close()
 	chance := rand.New(rand.NewPCG(r.Seed, uint64(s.At)))
 	ghost := membership.Member{ID: membership.ID{Name: "ghost", Start: 1}, Address: "127.0.0.1:9"}
-	other, err := talk.Encode("another", &membership.Message{Kind: membership.Ping, From: ghost, Number: 1})
+	other, err := talk.Encode("another", &talk.Message{Message: membership.Message{Kind: membership.Ping, From: ghost, Number: 1}})
 	if err != nil {
 		return
 	}
