[shares] in our own settings, pitchfield shares, and real routers that divide in the rig

In the rig what a batch takes goes by the batch: clients could not tell it before, and engines got a third more than was booked; a broken budget tells which start of which router sent what.

--- a/cmd/pitchfield/main.go
+++ b/cmd/pitchfield/main.go
@@ -81,7 +81,7 @@
 		c.Flags().StringVar(&level, "log-level", "info", "least level that is logged; debug has lines for every batch")
 		c.Flags().StringVar(&path, "settings", "", "file with settings of our own (TOML); none: all of them are off")
 	}
-	root.AddCommand(runs, checkCommand(), tryCommand(), hashCommand(), statusCommand(), membersCommand(), experimentCommand(),
+	root.AddCommand(runs, checkCommand(), tryCommand(), hashCommand(), statusCommand(), membersCommand(), sharesCommand(), experimentCommand(),
 		versionCommand())
 	return root
 }
--- a/cmd/pitchfield/words.go
+++ b/cmd/pitchfield/words.go
@@ -2,9 +2,11 @@
 
 import (
 	"bufio"
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"path/filepath"
@@ -152,19 +154,33 @@
 
 // membersCommand asks a router what it knows of its fleet.
 func membersCommand() *cobra.Command {
+	return pageCommand("members", "Print whom a router of a fleet knows, how sure it is, and who differs",
+		func(ctx context.Context, address string) (page, error) { return serve.AskMembers(ctx, address) })
+}
+
+// sharesCommand asks a router what it has of what its fleet divides.
+func sharesCommand() *cobra.Command {
+	return pageCommand("shares", "Print what a router has of budgets that its fleet divides, and what the bursar has given to whom",
+		func(ctx context.Context, address string) (page, error) { return serve.AskShares(ctx, address) })
+}
+
+// page is what a router's page tells.
+type page interface{ Print(out io.Writer) error }
+
+func pageCommand(word, short string, ask func(ctx context.Context, address string) (page, error)) *cobra.Command {
 	var asJSON bool
-	c := &cobra.Command{Use: "members ADDRESS", Short: "Print whom a router of a fleet knows, how sure it is, and who differs",
+	c := &cobra.Command{Use: word + " ADDRESS", Short: short,
 		Args: cobra.ExactArgs(1), RunE: func(c *cobra.Command, args []string) error {
-			m, err := serve.AskMembers(c.Context(), args[0])
+			p, err := ask(c.Context(), args[0])
 			if err != nil {
 				return err
 			}
 			if asJSON {
 				out := json.NewEncoder(c.OutOrStdout())
 				out.SetIndent("", "  ")
-				return out.Encode(m)
+				return out.Encode(p)
 			}
-			return m.Print(c.OutOrStdout())
+			return p.Print(c.OutOrStdout())
 		}}
 	c.Flags().BoolVar(&asJSON, "json", false, "as JSON")
 	return c
--- a/internal/crowd/cmd/main.go
+++ b/internal/crowd/cmd/main.go
@@ -27,9 +27,14 @@
 	seeds := flag.Int("seeds", 0, "of each cell; 0: as the table has them, 1,000 in all")
 	hours := flag.Float64("hours", 0, "router-hours of quiet at 5% loss, in place of the table")
 	cores := flag.Int("cores", runtime.NumCPU(), "to be used")
+	parts := flag.Bool("parts", false, "budgets that routers divide by talk, in place of the table")
 	largest := flag.Int("largest", 1000, "number of routers in the table")
 	flag.Parse()
 	sizes := slices.DeleteFunc([]int{5, 50, 300, 1000}, func(n int) bool { return n > *largest })
+	if *parts {
+		divided(sizes, *seeds, *cores)
+		return
+	}
 	if *hours > 0 {
 		quiet(*hours, *cores)
 		return
@@ -105,6 +110,32 @@
 	fmt.Printf("%d plays of %d routers, %.0f router-hours at 5%% loss: %d false deaths, heard by %d\n", n, routers, sum.Hours, sum.False, sum.Told)
 }
 
+// divided prints what parts that move come to.
+func divided(sizes []int, seeds, cores int) {
+	seeds = max(seeds, 1)
+	results := make([]crowd.Parts, len(sizes)*seeds)
+	var todo []func()
+	for i, n := range sizes {
+		for s := range seeds {
+			todo = append(todo, func() { results[i*seeds+s] = crowd.MeasureParts(n, uint64(s+1)) })
+		}
+	}
+	slices.Reverse(todo)
+	each(cores, todo)
+	t := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "routers\tused\tidle\tuneven\tfixed\tsmall (median, 99%)\theavy (median, 99%)\tsent\tfixed\tnewcomer\tbursar dead\tdead's part\tpackets/s\tbytes/s\tmost")
+	for _, p := range results {
+		fmt.Fprintf(t, "%d\t%.3f\t%.3f\t%.3f\t%.3f\t%.4f %.4f\t%.4f %.4f\t%.3f\t%.3f\t%.2f\t%.2f\t%.2f\t%.2f\t%.0f\t%.3f\n", p.Routers, p.Used, p.Idle, p.Uneven, p.Fixed,
+			p.Small[0], p.Small[1], p.Heavy[0], p.Heavy[1], p.Sent, p.Plain, p.Comes, p.Bursar, p.Dead, p.Packets, p.Bytes, p.Most)
+	}
+	t.Flush()
+	for _, p := range results {
+		for _, b := range p.Broken {
+			fmt.Println(p.Routers, "routers:", b)
+		}
+	}
+}
+
 func each(cores int, todo []func()) {
 	var wait sync.WaitGroup
 	free := make(chan struct{}, max(cores, 1))
--- a/internal/crowd/purse.go
+++ b/internal/crowd/purse.go
@@ -40,12 +40,13 @@
 	Batches int
 	Sent    int
 	GivenUp int
-	Heavy   [2]int    // batches that took a quarter of a whole or more: all, and sent
-	Waits   []float64 // seconds until a batch was sent,
-	Heavies []float64 // and until heavy ones were
-	Stood   int       // batches that were not sent, since what allowed them had ended
-	Lent    []float64 // share of all wholes that was in hand and not used, looked at now and then
-	Took    []float64 // share of all wholes that was used within a window, likewise
+	Heavy   [2]int         // batches that took a quarter of a whole or more: all, and sent
+	Waits   []float64      // seconds until a batch was sent,
+	Heavies []float64      // and until heavy ones were
+	By      map[string]int // batches that were sent, by router
+	Stood   int            // batches that were not sent, since what allowed them had ended
+	Lent    []float64      // share of all wholes that was in hand and not used, looked at now and then
+	Took    []float64      // share of all wholes that was used within a window, likewise
 	chance  *rand.Rand
 }
 
@@ -79,7 +80,7 @@
 	if p.Patience == 0 {
 		p.Patience = 4
 	}
-	l := &Ledger{crowd: c, uses: map[shares.Key][]use{}, sums: map[shares.Key]float64{}, chance: rand.New(rand.NewPCG(c.Seed, 0x7075727365))}
+	l := &Ledger{crowd: c, uses: map[shares.Key][]use{}, sums: map[shares.Key]float64{}, By: map[string]int{}, chance: rand.New(rand.NewPCG(c.Seed, 0x7075727365))}
 	for i := range p.Engines {
 		l.starts = append(l.starts, shares.Start{Engine: uint32(i + 1), At: epoch, Cores: 1})
 	}
@@ -159,6 +160,7 @@
 	l.uses[key], l.sums[key] = append(l.uses[key], use{l.crowd.Now, w.work}), l.sums[key]+w.work
 	share := l.sums[key] / l.crowd.Purse.Whole
 	l.Most, l.Used, l.Sent = max(l.Most, share), l.Used+w.work, l.Sent+1
+	l.By[by]++
 	l.Waits = append(l.Waits, l.crowd.Now-w.since)
 	if w.heavy {
 		l.Heavy[1]++
--- a/internal/crowd/purse_test.go
+++ b/internal/crowd/purse_test.go
@@ -152,7 +152,7 @@
 		c.Run(15)
 		bursar := slices.IndexFunc(c.Nodes, func(n *Node) bool { return n.purse.machine.State(n.now()).Office })
 		require.GreaterOrEqual(t, bursar, 0)
-		before := mean(c.Ledger.Took[len(c.Ledger.Took)-20:])
+		before := average(c.Ledger.Took[len(c.Ledger.Took)-20:])
 		switch who {
 		case "a holder":
 			c.Kill(c.Nodes[(bursar+1)%20])
@@ -164,7 +164,7 @@
 			}
 		}
 		c.Run(10)
-		after := mean(c.Ledger.Took[len(c.Ledger.Took)-20:])
+		after := average(c.Ledger.Took[len(c.Ledger.Took)-20:])
 		t.Logf("%s: %.3f of the wholes before, %.3f ten seconds later", who, before, after)
 		if who == "seven in ten" { // most keepers may be dead: then the firm parts of the living are all there is
 			continue
@@ -173,13 +173,6 @@
 	}
 }
 
-func mean(all []float64) (sum float64) {
-	for _, v := range all {
-		sum += v / float64(len(all))
-	}
-	return sum
-}
-
 func TestTheSamePlayOfSharesGoesTheSameWay(t *testing.T) {
 	var said []string
 	for range 2 {
--- a/internal/emulator/result.go
+++ b/internal/emulator/result.go
@@ -41,6 +41,7 @@
 	Tails      map[string]Tail // by group
 	Wasted     float64         // work that engines did for nobody, of all that they did
 	Copies     int             // dispatches beside one that was out
+	Talked     int             // datagrams between routers
 	Cold       float64         // work that came to a cold engine within a fall time, of what it bears then, at the most
 	NotWarm    float64         // share of the dispatches whose data set their engine had to read
 	Recovery   float64         // seconds from the end of the last trouble until service is what it was before the first; -1: never, or no trouble ends
--- a/internal/emulator/sim.go
+++ b/internal/emulator/sim.go
@@ -20,6 +20,7 @@
 	"pitchfield/internal/router"
 	"pitchfield/internal/rows"
 	"pitchfield/internal/settings"
+	"pitchfield/internal/shares"
 	"pitchfield/internal/traffic"
 )
 
@@ -58,9 +59,11 @@
 	Routes func() *limits.Table // makes the limits of a router, which keeps what it spends in them; nil: none
 	// Adaptive limits what is out at each engine; the zero value does not.
 	Adaptive limits.AdaptiveSettings
-	All      *limits.Budget // of further dispatches of all batches, and
-	Engine   *limits.Budget // to each engine; nil: none
-	Log      io.Writer      // lines of what happens; nil: none
+	All      *limits.Budget   // of further dispatches of all batches, and
+	Engine   *limits.Budget   // to each engine; nil: none
+	Talk     bool             // routers talk to each other,
+	Shares   *shares.Settings // and divide what cold engines bear by that; nil: not
+	Log      io.Writer        // lines of what happens; nil: none
 	// Tamper changes what a router asks for, for the checker's own tests.
 	Tamper func(node int, e router.Effect) []router.Effect
 	// TamperIn changes what a router is told, likewise.
@@ -91,6 +94,7 @@
 	data                   distuv.Categorical
 
 	routers []*node
+	talkers map[string]*node // by the address at which they talk
 	engines []*engine
 	names   *names
 	check   *checker
@@ -138,7 +142,7 @@
 	}
 	stream := func(n uint64) *rand.Rand { return rand.New(rand.NewPCG(o.Seed, n)) }
 	s := &sim{world: w, day: d, options: o, now: epoch, arrivals: stream(1), bodies: stream(2), ways: stream(3),
-		batches: map[string]*batch{}, hash: fnv.New64a()}
+		batches: map[string]*batch{}, talkers: map[string]*node{}, hash: fnv.New64a()}
 	s.result = newResult(w, d, o)
 	s.check = newChecker(s)
 	s.names = &names{sim: s}
@@ -164,7 +168,7 @@
 	s.names.history[0].at = s.now - 60
 	for i := range w.Routers {
 		n := &node{sim: s, index: i}
-		s.routers = append(s.routers, n)
+		s.routers, s.talkers[talkAddress(i)] = append(s.routers, n), n
 		n.start()
 	}
 	for _, t := range d.Troubles {
@@ -356,6 +360,9 @@
 	n.router = router.New(c, func(directory.Engine) *traffic.EngineProtocol { return engineProtocol }, n.pool, s.now)
 	s.check.restarted(n)
 	s.check.listed(n, c.Known)
+	if s.options.Talk || s.options.Shares != nil {
+		n.tell(s.talkSet(n))
+	}
 	if s.options.Levels != nil {
 		n.tell(router.LevelsSet{Levels: *s.options.Levels, Over: s.options.Over})
 	}
@@ -484,6 +491,8 @@
 		})
 	case router.Release:
 		w.Chain.Release()
+	case router.Talk:
+		n.talk(w)
 	case router.Tell:
 		n.status = w.Status
 	case router.Log:
--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -29,6 +29,7 @@
 	"pitchfield/internal/installation"
 	"pitchfield/internal/levels"
 	"pitchfield/internal/limits"
+	"pitchfield/internal/shares"
 )
 
 // Variant is one way to set routers up.
@@ -39,8 +40,10 @@
 	Routes func() *limits.Table // makes the routes of a router; nil: none
 	// Adaptive limits what is out at each engine.
 	Adaptive limits.AdaptiveSettings
-	All      *limits.Budget // of further dispatches, and
-	Engine   *limits.Budget // to each engine
+	All      *limits.Budget   // of further dispatches, and
+	Engine   *limits.Budget   // to each engine
+	Talk     bool             // routers talk,
+	Shares   *shares.Settings // and divide by that; nil: not
 
 	swept bool // one of many fixed ones
 }
@@ -70,6 +73,9 @@
 		Group    string  `toml:"group"`
 		Adaptive string  `toml:"adaptive"` // a kind of adaptive limit
 		Limit    float64 `toml:"limit"`    // of kind fixed
+		Talk     bool    `toml:"talk"`     // routers talk to each other,
+		Shares   bool    `toml:"shares"`   // and divide what cold engines bear by that,
+		Firm     float64 `toml:"firm"`     // of which so much stays with each
 	} `toml:"variant"`
 	// Limits makes a variant of each fixed number of dispatches out at an engine.
 	Limits []float64 `toml:"limits"`
@@ -148,6 +154,11 @@
 				one.Routes = own.Routes.Copy
 			}
 		}
+		if one.Talk = v.Talk || v.Shares; v.Shares {
+			s := shares.Defaults()
+			s.Firm = v.Firm
+			one.Shares = &s
+		}
 		if v.Adaptive != "" {
 			one.Adaptive = limits.AdaptiveSettings{Kind: v.Adaptive, First: v.Limit}
 		}
@@ -232,7 +243,7 @@
 					todo = append(todo, Run{World: w.Name, Day: d.Name, Variant: v.Name, Seed: seed})
 					jobs = append(jobs, func() (*emulator.Result, error) {
 						return emulator.Play(w, d, emulator.Options{Seed: seed, Levels: v.Levels, Over: v.Over, Routes: v.Routes, Adaptive: v.Adaptive,
-							All: v.All, Engine: v.Engine})
+							All: v.All, Engine: v.Engine, Talk: v.Talk, Shares: v.Shares})
 					})
 				}
 			}
--- a/internal/installation/installation.go
+++ b/internal/installation/installation.go
@@ -20,6 +20,7 @@
 	"pitchfield/internal/levels"
 	"pitchfield/internal/limits"
 	"pitchfield/internal/settings"
+	"pitchfield/internal/shares"
 	"pitchfield/internal/status"
 	"pitchfield/internal/tds"
 )
@@ -34,6 +35,7 @@
 	Status  string           // where the status page listens; empty: nowhere
 	Levels  *levels.Settings // of reduced service; nil: none
 	Fleet   *fleet.Settings  // other routers; nil: there is no talk
+	Shares  *shares.Settings // what is divided with them; nil: nothing
 	// LevelsOver is the time in seconds over which what levels are entered by fades.
 	LevelsOver float64
 
@@ -49,6 +51,7 @@
 	limits.LimitSections
 	status.PageSection
 	fleet.Sections
+	shares.ShareSections
 	levels.LevelSections
 }
 
@@ -79,6 +82,11 @@
 	out := &Installation{line: c.Line, source: s}
 	out.TDS, out.Rules, out.Engines = f.FrontSection.Prove(c), f.RuleSections.Prove(c), f.EngineSections.Prove(c)
 	out.Status, out.Fleet = f.PageSection.Prove(c), f.Sections.Prove(c)
+	if out.Fleet != nil {
+		out.Shares = f.ShareSections.Prove(c, out.Fleet.Members.Listen, out.Fleet.Networks)
+	} else {
+		out.Shares = f.ShareSections.Prove(c, "", nil)
+	}
 	out.Levels, out.LevelsOver = f.LevelSections.Prove(c)
 	out.Limits = f.LimitSections.Prove(c)
 	out.Routes = limits.NewTable(out.Limits.Routes)
--- a/internal/installation/installation_test.go
+++ b/internal/installation/installation_test.go
@@ -121,6 +121,32 @@
 	none, err := Parse("x.toml", []byte(good), env)
 	require.NoError(t, err)
 	assert.Nil(t, none.Fleet, "without the section there is no talk")
+	const divides = talks + "[shares]\nkeepers = [\"10.1.0.4:7500\", \"10.1.0.5:7500\", \"10.2.0.9:7500\"]\nlease = \"500ms\"\nfirm = 0.2\n"
+	i, err = Parse("x.toml", []byte(divides), env)
+	require.NoError(t, err)
+	require.NotNil(t, i.Shares)
+	assert.Equal(t, []float64{0.5, 1, 0.2}, []float64{i.Shares.Lease, i.Shares.Term, i.Shares.Firm})
+	assert.Equal(t, "10.1.0.4:7500", i.Shares.Listen)
+	for change, why := range map[string]string{
+		`, "10.2.0.9:7500"]` + "\nlease|]\nlease":               "x.toml:9: shares.keepers: 2 addresses",
+		`[fleet]|[fleet.x]`:                                     "fleet.x: no such key",
+		`"10.1.0.5:7500", "10.2.0.9|"10.1.0.4:7500", "10.2.0.9`: "x.toml:9: shares.keepers[1]: \"10.1.0.4:7500\" is there twice",
+		`"10.1.0.5:7500", "10.2.0.9|"10.1.0.5", "10.2.0.9`:      "is not an address and a port",
+		`"10.1.0.5:7500", "10.2.0.9|"10.3.0.5:7500", "10.2.0.9`: "in none of the networks of [fleet]",
+		`lease = "500ms"|lease = "10ms"`:                        "x.toml:10: shares.lease",
+		`lease = "500ms"|lease = "5s"` + "\nterm = \"6s\"":      "the term has to be at least 2 times the lease",
+		`lease = "500ms"|term = "100ms"`:                        "x.toml:10: shares.term",
+		`firm = 0.2|firm = 1.5`:                                 "x.toml:11: shares.firm",
+		`firm = 0.2|drift = 0`:                                  "x.toml:11: shares.drift",
+		`firm = 0.2|frim = 0.2`:                                 "shares.frim: no such key",
+	} {
+		old, new, _ := strings.Cut(change, "|")
+		require.Contains(t, divides, old)
+		_, err := Parse("x.toml", []byte(strings.Replace(divides, old, new, 1)), env)
+		assert.ErrorContains(t, err, why, change)
+	}
+	_, err = Parse("x.toml", []byte("[shares]\nkeepers = [\"10.1.0.4:7500\"]\n"), env)
+	assert.ErrorContains(t, err, "without [fleet] there is nobody to divide anything with")
 	for change, why := range map[string]string{
 		`name = "brno"|`:                                       "x.toml:1: fleet.name",
 		`name = "brno"|name = "two words"`:                     "x.toml:2: fleet.name",
--- a/internal/serve/members.go
+++ b/internal/serve/members.go
@@ -88,6 +88,9 @@
 
 func (p *statusPage) setMembers(m router.Members, t loop.Talked) {
 	p.members.Store(newMembers(m, t, p.members.Load()))
+	if m.Shares != nil {
+		p.shares.Store(newShares(m))
+	}
 }
 
 // AskMembers asks a router's page.
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -78,6 +78,11 @@
 	w.Levels, w.Routes = levelsOf(t.Own), routesOf(t.Own)
 	if t.Own != nil && t.Own.Fleet != nil {
 		w.Talk = talkOf(t.Config.Name, t.Own.Fleet)
+		if w.Talk.Shares = t.Own.Shares; w.Talk.Shares != nil {
+			if err := alone(ctx, w.Talk.Shares); err != nil {
+				return err
+			}
+		}
 	}
 	inForce := func(Told) {}
 	if t.Own != nil && t.Own.Status != "" {
--- a/internal/serve/status.go
+++ b/internal/serve/status.go
@@ -99,6 +99,7 @@
 	server  *http.Server
 	last    atomic.Pointer[Status]
 	members atomic.Pointer[Members]
+	shares  atomic.Pointer[Shares]
 	inForce atomic.Pointer[InForce]
 }
 
@@ -136,6 +137,15 @@
 		w.Header().Set("Content-Type", "application/json")
 		json.NewEncoder(w).Encode(m) //nolint:errcheck // the client has left
 	})
+	mux.HandleFunc("GET /shares", func(w http.ResponseWriter, _ *http.Request) {
+		s := p.shares.Load()
+		if s == nil {
+			http.Error(w, "this router divides nothing with others; settings without [shares] have nothing to divide", http.StatusNotFound)
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		json.NewEncoder(w).Encode(s) //nolint:errcheck // the client has left
+	})
 	p.server = &http.Server{Handler: mux, ReadTimeout: statusWithin, WriteTimeout: statusWithin, MaxHeaderBytes: 4 << 10}
 	go func() {
 		if err := p.server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
--- /dev/null
+++ b/internal/shares/fuzz_test.go
@@ -0,0 +1,69 @@
+package shares
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+type reader struct{ data []byte }
+
+func (r *reader) next(below int) int {
+	if len(r.data) == 0 {
+		return 0
+	}
+	b := r.data[0]
+	r.data = r.data[1:]
+	return int(b) % below
+}
+
+// Whatever is heard, what a bursar has given never comes to more than the whole, and a holder has no more than it asked for.
+func FuzzMachine(f *testing.F) {
+	f.Add([]byte("claims, promises, askings, and what is done"))
+	f.Add([]byte{0, 9, 0, 9, 0, 9, 1, 4, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 250, 251, 252, 253, 254, 255})
+	addresses := []string{"10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1", "10.0.0.9:1"}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		r := &reader{data}
+		s := Defaults()
+		s.Keepers, s.Listen = addresses[:1+2*r.next(2)], addresses[0]
+		m, now := New(s, ID{"n1", 1}, Fixed{Whole: 4, Window: 1, Routers: 3, Sharers: 16, Began: 90}, 3, 100), 100.0
+		to := func() Start { return Start{Engine: uint32(r.next(2)), At: 50, Cores: 1} }
+		for len(r.data) > 0 {
+			now += []float64{0, 0.001, 0.05, 0.3, 1, 3}[r.next(6)]
+			switch r.next(5) {
+			case 0:
+				m.Wake(now)
+			case 1:
+				m.Want(now, to(), float64(r.next(40))/8)
+			case 2:
+				if of, work := to(), float64(1+r.next(16))/8; m.Room(now, of, work) {
+					m.Spend(now, of, work)
+					require.GreaterOrEqual(t, m.Ends(), now, "what is spent may still be written")
+				}
+			default:
+				message := &Message{Kind: MessageKind(1 + r.next(6)), From: ID{fmt.Sprint("n", 2+r.next(3)), uint64(r.next(2))}, At: addresses[1+r.next(3)], Roll: s.roll(),
+					Number: uint64(r.next(12)), Bursar: append(addresses, "")[r.next(5)]}
+				for range r.next(3) {
+					message.Items = append(message.Items, Item{Number: uint64(r.next(6)), Try: uint32(r.next(3)), Key: ColdKey(to()), Amount: float64(r.next(48)) / 8,
+						Whole: []float64{4, 4, 4, 2}[r.next(4)], Rest: 1.1, Lease: float64(r.next(3)), Done: r.next(3) == 0, Never: r.next(9) == 0})
+				}
+				m.Heard(now, message)
+			}
+			m.Sends()
+			m.Notes()
+			for _, b := range m.bursar.books {
+				sum := units(0)
+				for _, c := range b.given {
+					sum += c.amount
+				}
+				require.Equal(t, sum, b.sum)
+				require.LessOrEqual(t, b.sum, units(4e6), "the whole was 4 at the most")
+			}
+			for _, b := range m.budgets {
+				require.LessOrEqual(t, b.left(now), 4.0)
+			}
+			require.Greater(t, m.At(), now-1e-9)
+		}
+	})
+}
--- a/internal/shares/state.go
+++ b/internal/shares/state.go
@@ -67,3 +67,19 @@
 	}
 	return s
 }
+
+// Owes is what still counts of a router's, over all that this bursar has given; below 0: this router is not the bursar.
+func (m *Machine) Owes(name string) (sum float64) {
+	if m.keeper == nil || !m.keeper.office(m.now) {
+		return -1
+	}
+	for _, b := range m.bursar.books {
+		b.drop(m.now)
+		for of, c := range b.given {
+			if of.Name == name {
+				sum += float64(c.amount) / 1e6
+			}
+		}
+	}
+	return sum
+}
--- a/internal/torture/budgets.go
+++ b/internal/torture/budgets.go
@@ -3,8 +3,10 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 	"sort"
+	"strings"
 	"time"
 
 	"pitchfield/internal/standin"
@@ -79,8 +81,13 @@
 	return name
 }
 
+// divided is the share of what an engine bears at its start that routers divide by talk, and a tenth for what clients tell only
+// nearly right.
+const divided = 0.77 * 1.1
+
 // bears is the work that a cold engine bears within a fall time; below 0: it is not cold. What its pace is between its start
-// and warmth is not disclosed; a straight line is what this fleet does.
+// and warmth is not disclosed; a straight line is what this fleet does. Where routers divide it by talk they are held to what
+// it bears at its start, all the time: that is the whole which they divide.
 func (c *runsCheck) bears(engine string, at time.Duration) float64 {
 	e := c.Engines[engine]
 	age := at - e.Started.Sub(c.Began)
@@ -88,6 +95,9 @@
 		return -1
 	}
 	pace := coldFrom + (1-coldFrom)*age.Seconds()/coldTime.Seconds()
+	if c.Shares {
+		pace = coldFrom * divided
+	}
 	return fallMultiple * pace * cores * fallTime.Seconds()
 }
 
@@ -125,21 +135,39 @@
 func (c *runsCheck) budgets() {
 	for _, b := range budgetList {
 		told := map[string]bool{}
-		c.walk(b, func(r standin.Run, of string, used, whole float64) {
+		c.walk(b, func(r standin.Run, of string, parts []part, used, whole float64) {
 			if used > whole && !told[of] {
 				told[of] = true
-				c.found(b.Rule, r, "%s of %s: %.1f %s within %s, and %.1f is the whole", b.Name, of, used, b.Unit, b.Window, whole)
+				c.found(b.Rule, r, "%s of %s: %.2f %s within %s, and %.2f is the whole; of %s", b.Name, of, used, b.Unit, b.Window, whole, c.whose(parts))
 			}
 		})
 	}
 }
 
-// walk sums each budget of a kind over its window, run by run.
-func (c *runsCheck) walk(b Budget, do func(r standin.Run, of string, used, whole float64)) {
-	type part struct {
-		at     time.Duration
-		amount float64
+// part is what one run took of a budget.
+type part struct {
+	at     time.Duration
+	amount float64
+	run    standin.Run
+}
+
+// whose tells which starts of routers took how much, and over which time.
+func (c *runsCheck) whose(parts []part) string {
+	sums, batches := map[string]float64{}, map[string]int{}
+	for _, p := range parts {
+		router := c.router(p.run)
+		of := c.start(router, c.life(router, p.at))
+		sums[of], batches[of] = sums[of]+p.amount, batches[of]+1
 	}
+	var out []string
+	for _, of := range slices.Sorted(maps.Keys(sums)) {
+		out = append(out, fmt.Sprintf("%s %.2f in %d batches", of, sums[of], batches[of]))
+	}
+	return fmt.Sprintf("%s, from %.3f to %.3f s", strings.Join(out, "; "), parts[0].at.Seconds(), parts[len(parts)-1].at.Seconds())
+}
+
+// walk sums each budget of a kind over its window, run by run.
+func (c *runsCheck) walk(b Budget, do func(r standin.Run, of string, parts []part, used, whole float64)) {
 	parts, sums := map[string][]part{}, map[string]float64{}
 	for _, r := range c.runs {
 		of, amount := b.Of(c, r)
@@ -147,13 +175,13 @@
 			continue
 		}
 		at := c.at(r)
-		parts[of], sums[of] = append(parts[of], part{at, amount}), sums[of]+amount
+		parts[of], sums[of] = append(parts[of], part{at, amount, r}), sums[of]+amount
 		for parts[of][0].at < at-b.Window {
 			sums[of] -= parts[of][0].amount
 			parts[of] = parts[of][1:]
 		}
 		if whole := b.Whole(c, of, at); whole >= 0 {
-			do(r, of, sums[of], whole)
+			do(r, of, parts[of], sums[of], whole)
 		}
 	}
 }
@@ -175,14 +203,10 @@
 	for _, b := range budgetList {
 		of := b.All(c)
 		u := Use{Name: b.Name}
-		type part struct {
-			at     time.Duration
-			amount float64
-		}
 		parts := map[string][]part{}
 		for _, run := range c.runs {
 			if of, amount := b.Of(c, run); amount > 0 {
-				parts[of] = append(parts[of], part{c.at(run), amount})
+				parts[of] = append(parts[of], part{c.at(run), amount, run})
 			}
 		}
 		alive, dead := 0, 0
--- a/internal/torture/clients.go
+++ b/internal/torture/clients.go
@@ -153,7 +153,7 @@
 		text += " --key=" + b.Key
 	}
 	// Clients tell the work, nearly right: a router that has just started can spend its part of a cold engine at once.
-	work := p.act(standin.Run{Text: text}, 0).After.Seconds() * 1e3 * (0.8 + 0.4*r.Float64())
+	work := p.act(standin.Run{ID: b.ID, Text: text}, 0).After.Seconds() * 1e3 * (0.8 + 0.4*r.Float64())
 	fields = append(fields, "h", strconv.FormatFloat(work, 'f', 1, 64))
 	frame := standin.Frame(10, stream, fields, text)
 	if r.IntN(150) == 0 { // this client's machine stands still within a frame
--- a/internal/torture/cmd/main.go
+++ b/internal/torture/cmd/main.go
@@ -28,7 +28,8 @@
 	only         string
 	routers      int
 	older        string
-	talk         bool
+	talk, shares bool
+	firm         float64
 }
 
 func main() {
@@ -44,6 +45,8 @@
 	flag.IntVar(&o.routers, "routers", 1, "before the same engines")
 	flag.StringVar(&o.older, "older", "", "a commit whose program some of several routers run for a while")
 	flag.BoolVar(&o.talk, "talk", false, "several routers talk to each other")
+	flag.BoolVar(&o.shares, "shares", false, "and divide what a cold engine bears by that")
+	flag.Float64Var(&o.firm, "firm", 0.1, "share of that which stays with each")
 	measure := flag.Bool("measure", false, "no script: service and use of budgets by 2 to 12 routers, with none and half of them killed")
 	defects := flag.Bool("defects", false, "look for the defects of defects.toml")
 	flag.Parse()
@@ -114,7 +117,7 @@
 		for _, killed := range []bool{false, true} {
 			var sum torture.Figures
 			for i := range o.seeds {
-				r, err := torture.Run(torture.Options{Program: program, Seed: o.first + i, Long: o.long, Clients: o.clients, Folder: o.folder, Routers: routers,
+				r, err := torture.Run(torture.Options{Program: program, Seed: o.first + i, Long: o.long, Clients: o.clients, Folder: o.folder, Routers: routers, Talk: o.talk || o.shares, Shares: o.shares, Firm: o.firm,
 					Steps: torture.Replacements(o.long, routers, killed)})
 				if err != nil {
 					return err
@@ -149,7 +152,7 @@
 	var failure error
 	each(o.beside, int(o.seeds), func(i int) {
 		r, err := torture.Run(torture.Options{Program: program, Older: older, Seed: o.first + uint64(i), Long: o.long, Clients: o.clients, Folder: o.folder,
-			Routers: o.routers, Talk: o.talk})
+			Routers: o.routers, Talk: o.talk || o.shares, Shares: o.shares, Firm: o.firm})
 		mutex.Lock()
 		defer mutex.Unlock()
 		if err != nil {
@@ -216,7 +219,7 @@
 		}
 		for seed := o.first; seed < o.first+o.seeds && out.err == nil && out.finding == nil; seed++ {
 			r, err := torture.Run(torture.Options{Program: program, Seed: seed, Long: o.long, Clients: o.clients, Folder: folder,
-				Routers: routers, Talk: o.talk})
+				Routers: routers, Talk: o.talk || o.shares || d.Talk, Shares: o.shares || d.Shares, Firm: o.firm})
 			if out.err = err; err != nil {
 				break
 			}
--- a/internal/torture/defects.go
+++ b/internal/torture/defects.go
@@ -19,7 +19,8 @@
 type Defect struct {
 	Name          string
 	Rule          int    // that it breaks
-	Fleet         bool   // it shows only where there are several routers
+	Fleet         bool   // it shows only where there are several routers,
+	Talk, Shares  bool   // that talk, and divide by that
 	File          string // from the root of the repository
 	Before, After string
 }
--- a/internal/torture/play.go
+++ b/internal/torture/play.go
@@ -28,7 +28,9 @@
 	Folder      string        // for configuration and log
 	Routers     int           // before the same engines; 0: one, without links that could be cut
 	Older       string        // another build of the program, which some of them run for a while; empty: the same one
-	Talk        bool          // routers talk to each other, through links of their own
+	Talk        bool          // routers talk to each other, through links of their own,
+	Shares      bool          // and divide what a cold engine bears by that
+	Firm        float64       // share of it that stays with each
 	Steps       []Step        // in place of those drawn by the seed
 }
 
@@ -47,6 +49,7 @@
 	Logs     []string         // files of the routers' lines
 	Began    time.Time
 	Long     time.Duration
+	Shares   bool // routers divide what cold engines bear by talk
 }
 
 // Counts sums up the answers by code, and what had none.
@@ -227,7 +230,7 @@
 		e.Stop()
 	}
 	r := &Result{Seed: p.Seed, Steps: steps, Batches: p.batches, Runs: p.ledger.Runs(), Probes: p.ledger.Probes(), Engines: p.fleet(),
-		Weather: p.weather, History: map[int][]string{}, Began: p.began, Long: p.Long}
+		Weather: p.weather, History: map[int][]string{}, Began: p.began, Long: p.Long, Shares: p.Shares}
 	for _, one := range p.everyone() {
 		one.names.Close()
 		one.log.Close()
@@ -240,15 +243,18 @@
 	return r
 }
 
-// act is what an engine does with a batch: its text and how often it has come decide, so a seed always does the same.
+// act is what an engine does with a batch. What it takes goes by the batch alone, so that its client can tell it, and what else
+// happens by how often its text has come too. A seed always does the same. The work once went by the text and its count: what
+// clients told was then true of one in hundreds, the smallest tellings went first, and engines got a third more than was booked.
 func (p *play) act(r standin.Run, count int) standin.Act {
 	h := fnv.New64a()
-	h.Write([]byte(r.Text)) //nolint:errcheck
-	chance := rand.New(rand.NewPCG(p.Seed^h.Sum64(), uint64(count)))
-	a := standin.Act{After: time.Duration(5+chance.IntN(120)) * time.Millisecond, Rows: rowsOf(r.Text)}
-	if chance.IntN(40) == 0 {
-		a.After = time.Duration(300+chance.IntN(300)) * time.Millisecond
+	h.Write([]byte(cmp.Or(r.ID, r.Text))) //nolint:errcheck
+	work := rand.New(rand.NewPCG(p.Seed^h.Sum64(), 0))
+	a := standin.Act{After: time.Duration(5+work.IntN(120)) * time.Millisecond, Rows: rowsOf(r.Text)}
+	if work.IntN(40) == 0 {
+		a.After = time.Duration(300+work.IntN(300)) * time.Millisecond
 	}
+	chance := rand.New(rand.NewPCG(p.Seed^h.Sum64(), uint64(1+count)))
 	if chance.IntN(25) == 0 {
 		a.Deed = []standin.Deed{standin.TurnAway, standin.Fail, standin.Drop, standin.Cut, standin.Hush, standin.Half,
 			standin.Garble, standin.Overlong}[chance.IntN(8)]
--- a/internal/torture/talk.go
+++ b/internal/torture/talk.go
@@ -67,6 +67,9 @@
 	}
 	text := fmt.Sprintf("[status]\nlisten = %q\n\n[fleet]\nname = \"torture\"\nlisten = %q\nseeds = [%s]\nnetworks = [\"127.0.0.0/8\"]\nevery = %q\naccept-loss-after = %q\nvia = [%s]\n",
 		r.statusAddress(), r.talkAddress(), strings.Join(seeds, ", "), talkEvery, acceptLoss, strings.Join(via, ", "))
+	if r.Shares {
+		text += r.shares()
+	}
 	path := filepath.Join(r.Folder, fmt.Sprintf("own-%d-%d.toml", r.Seed, r.number))
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		return "", fmt.Errorf("torture: %w", err)
@@ -74,6 +77,20 @@
 	return path, nil
 }
 
+// shares are the settings of what the routers divide by talk: three keepers, and of two routers one. Leases are as long as the
+// engines' fall time is half, so that a standstill of seconds outlasts them.
+func (r *router) shares() string {
+	n := 3
+	if len(r.routers) < n {
+		n = 1
+	}
+	var keepers []string
+	for _, o := range r.routers[:n] {
+		keepers = append(keepers, fmt.Sprintf("%q", o.talkAddress()))
+	}
+	return fmt.Sprintf("\n[shares]\nkeepers = [%s]\nfirm = %g\nlease = \"500ms\"\nterm = \"1s\"\n", strings.Join(keepers, ", "), r.Firm)
+}
+
 // rubbish sends what is no packet of the fleet, and what is one of another: bytes by chance, too much, cut, of a router that
 // nobody knows under another fleet's name.
 func (r *router) rubbish(s Step) {
--- a/internal/torture/torture_test.go
+++ b/internal/torture/torture_test.go
@@ -72,6 +72,21 @@
 	}
 }
 
+// And with what cold engines bear divided by talk: together they never send one more than that, whoever dies or is cut off.
+func TestRoutersThatDivideByTalkNeverPassTheWhole(t *testing.T) {
+	for seed := uint64(4); seed <= 6; seed++ {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			r, err := Run(Options{Program: program, Seed: seed, Long: 7 * time.Second, Clients: 12, Routers: 3, Talk: true, Shares: true, Firm: 0.1,
+				Folder: t.TempDir()})
+			require.NoError(t, err)
+			for _, f := range r.Findings {
+				t.Error(f, r.Said(f))
+			}
+			t.Log(r.Counts(), r.Uses()[0].Most, r.Steps)
+		})
+	}
+}
+
 func TestTheSameSeedDrawsTheSameScript(t *testing.T) {
 	assert.Equal(t, Script(7, 10*time.Second, 1), Script(7, 10*time.Second, 1))
 	assert.NotEqual(t, Script(7, 10*time.Second, 1), Script(8, 10*time.Second, 1))
