A bursar who leaves hands his books over, so that the next one gives at once

Need: a rolling restart moved the office each time, and each new bursar kept his books shut for a lease and a fall time. Change: who leaves says with his yield all that still counts. The next one takes it where all who promised him had promised the one before last, since then nobody was the bursar in between.

--- a/internal/crowd/purse_test.go
+++ b/internal/crowd/purse_test.go
@@ -173,6 +173,37 @@
 	}
 }
 
+// A bursar who leaves in peace hands his books over, so that the next one gives at once and still passes no whole.
+func TestABursarWhoLeavesHandsOver(t *testing.T) {
+	gap := map[bool]float64{}
+	for _, leaves := range []bool{true, false} {
+		p := purse()
+		p.Replaced, p.Rate, p.Heavy, p.Settings = 0, 800, 0, shares.Defaults()
+		p.Settings.Firm = 0
+		c := New(Options{Routers: 9, Seed: 8, Purse: p})
+		c.StartAll()
+		c.Run(12)
+		i := slices.IndexFunc(c.Nodes, c.bursar)
+		require.GreaterOrEqual(t, i, 0)
+		if leaves {
+			c.Leave(c.Nodes[i])
+		} else {
+			c.Kill(c.Nodes[i])
+		}
+		for from, last, sent := c.Now, c.Now, c.Ledger.Sent; c.Now < from+12; {
+			c.Run(0.05)
+			if c.Ledger.Sent > sent {
+				gap[leaves] = max(gap[leaves], c.Now-last)
+				last, sent = c.Now, c.Ledger.Sent
+			}
+		}
+		require.Empty(t, c.Ledger.Broken)
+	}
+	t.Log("seconds without a batch, when he leaves and when he dies:", gap)
+	assert.Less(t, gap[true], 1.5)
+	assert.Greater(t, gap[false], 3.0)
+}
+
 func TestTheSamePlayOfSharesGoesTheSameWay(t *testing.T) {
 	var said []string
 	for range 2 {
--- a/internal/shares/bursar.go
+++ b/internal/shares/bursar.go
@@ -54,6 +54,35 @@
 type bursar struct {
 	*Settings
 	books map[Key]*book // tidy deletes
+	known bool          // all that counts of the bursar before is in the books
+}
+
+// takeOver opens the books with what the bursar before handed over.
+func (b *bursar) takeOver(h *handed) {
+	b.books, b.known = map[Key]*book{}, h != nil
+	if h == nil {
+		return
+	}
+	for n, i := range h.items {
+		k := &book{key: i.Key, whole: i.Whole, next: i.Whole, nextAt: h.at, given: map[holder]*credit{}, first: math.Inf(1), usedAt: h.at}
+		k.give(holder{h.by, uint64(n)}, &credit{amount: toUnits(i.Amount), until: h.at + b.longer(i.Rest), done: true})
+		b.books[i.Key] = k
+	}
+}
+
+// handOver gives all that still counts, where one message holds it.
+func (b *bursar) handOver(now float64) (items []Item, all bool) {
+	for _, k := range b.inOrder() {
+		if k.drop(now); k.sum == 0 {
+			continue
+		}
+		last := now
+		for _, c := range k.given {
+			last = max(last, c.until)
+		}
+		items = append(items, Item{Key: k.key, Amount: float64(k.sum) / 1e6, Whole: k.whole, Rest: last - now})
+	}
+	return items, len(items) <= mostItems
 }
 
 // tidy drops books of which nothing counts any more.
@@ -109,7 +138,9 @@
 	}
 	k.usedAt = now
 	k.rest = max(k.rest, i.Rest)
-	k.openAt = wonAt + b.longer(b.Lease+k.rest)
+	if !b.known {
+		k.openAt = wonAt + b.longer(b.Lease+k.rest)
+	}
 	// The least that anybody tells holds; a higher one only once nobody has told the lower for a rest.
 	if now > k.nextAt+max(k.rest, b.Lease) {
 		k.whole, k.next, k.nextAt = k.next, i.Whole, now
--- a/internal/shares/keeper.go
+++ b/internal/shares/keeper.go
@@ -22,6 +22,9 @@
 	mine   float64 // the own office lasts until then
 	tryAt  float64
 	wonAt  float64 // since when the office is held without a gap; 0: it is not
+	prior  ID      // whom was promised before him
+	takes  *handed // what the office was taken over with; nil: nothing
+	handed *handed // what a bursar who left has handed over; nil: nothing, or another was promised since
 	first  float64 // since when nobody's promise stands in the own way; 0: one does
 }
 
@@ -31,6 +34,14 @@
 	sent   float64
 	by     []string // who has promised,
 	not    []string // and who has refused
+	prior  []ID     // whom those who promised had promised before
+}
+
+// handed is what still counted in the books of a bursar who left.
+type handed struct {
+	by    ID
+	at    float64 // when it was heard
+	items []Item  // key, amount, and in Rest how long it counts at the most
 }
 
 // rank of an address among the keepers; below 0: none.
@@ -46,16 +57,37 @@
 		if now < k.quiet || k.promised(now, m.From) || k.rank(m.At) < 0 || k.to == m.From && m.Number < k.claim {
 			return Refusal
 		}
-		k.to, k.toAt, k.claim, k.until = m.From, m.At, m.Number, now+k.longer(k.Term)
+		k.promise(now, m.From, m.At, m.Number)
 		return Promise
-	case Yield: // one that was passed by a later claim, or comes late, ends nothing
+	case Yield, Handover: // one that was passed by a later claim, or comes late, ends nothing
 		if k.to == m.From && m.Number >= k.claim {
-			k.until = min(k.until, now)
+			if k.until = min(k.until, now); m.Kind == Handover {
+				k.handed = &handed{m.From, now, m.Items}
+			}
 		}
 	}
 	return 0
 }
 
+// promise notes whom the promise is for.
+func (k *keeper) promise(now float64, to ID, at string, claim uint64) {
+	if to != k.to {
+		k.prior = k.to
+	}
+	k.to, k.toAt, k.claim, k.until = to, at, claim, now+k.longer(k.Term)
+}
+
+// takesOver gives what the bursar before handed over, if it was he whom all who have promised had promised last: then nobody
+// was the bursar in between, as he would have had a promise of one of them. They still know, or they would have promised
+// nobody yet.
+func (k *keeper) takesOver(c *claim) *handed {
+	h := k.handed
+	if h == nil || slices.ContainsFunc(c.prior, func(before ID) bool { return before != h.by }) {
+		return nil
+	}
+	return h
+}
+
 // due tells whether it is time to claim. A bursar renews early; the others wait in the keepers' order, so that seldom two
 // claim at once.
 func (k *keeper) due(now float64, self ID) bool {
@@ -82,8 +114,8 @@
 		return k.giveUp(now, self), true
 	}
 	k.number++
-	k.to, k.toAt, k.claim, k.until = self, k.Listen, k.number, now+k.longer(k.Term) // the first promise is ours
-	k.claims = append(slices.DeleteFunc(k.claims, func(c claim) bool { return now >= c.sent+k.Term }), claim{k.number, now, []string{k.Listen}, nil})
+	k.promise(now, self, k.Listen, k.number) // the first promise is ours
+	k.claims = append(slices.DeleteFunc(k.claims, func(c claim) bool { return now >= c.sent+k.Term }), claim{k.number, now, []string{k.Listen}, nil, []ID{k.prior}})
 	k.tryAt = now + k.Term/4
 	k.count(now, &k.claims[len(k.claims)-1])
 	return Message{Kind: Claim, Number: k.number}, true
@@ -105,6 +137,9 @@
 		return false
 	}
 	*list = append(*list, m.At)
+	if m.Kind == Promise {
+		c.prior = append(c.prior, m.Prior)
+	}
 	k.count(now, c)
 	return 2*len(c.not) >= len(k.Keepers) && !k.office(now)
 }
@@ -116,7 +151,8 @@
 		return
 	}
 	if !k.office(now) {
-		k.wonAt = now
+		k.wonAt, k.takes = now, k.takesOver(c)
+		k.handed = nil
 	}
 	k.mine = max(k.mine, end)
 }
--- a/internal/shares/machine.go
+++ b/internal/shares/machine.go
@@ -274,7 +274,8 @@
 		return
 	}
 	m.note(true, "bursar", "is", is, "until", m.keeper.mine, "books", len(m.bursar.books))
-	m.bursar.books = map[Key]*book{}
+	m.bursar.takeOver(m.keeper.takes)
+	m.keeper.takes = nil
 	if is {
 		m.at = m.Listen
 	} else if m.at == m.Listen {
@@ -310,7 +311,7 @@
 func (m *Machine) heard(message *Message) {
 	k := m.keeper
 	switch message.Kind {
-	case Claim, Yield:
+	case Claim, Yield, Handover:
 		if k == nil {
 			return
 		}
@@ -320,7 +321,7 @@
 			return
 		}
 		if answer := k.hear(m.now, message); answer != 0 {
-			m.send(message.At, Message{Kind: answer, Number: message.Number, Bursar: k.toAt})
+			m.send(message.At, Message{Kind: answer, Number: message.Number, Bursar: k.toAt, Prior: k.prior})
 		}
 	case Promise, Refusal:
 		if k == nil {
@@ -576,9 +577,26 @@
 	m.speak()
 	if k := m.keeper; k != nil && k.number > 0 {
 		was := k.office(m.now)
+		items, all := m.bursar.handOver(m.now)
 		yield := k.giveUp(m.now, m.self)
+		if was && all && m.bursarOpen() {
+			yield.Kind, yield.Items = Handover, items
+		}
 		k.quiet = math.Inf(1)
 		m.settle(was)
 		m.keepers(yield)
 	}
 }
+
+// bursarOpen tells whether nothing counts any more of the bursar before that is not in the books.
+func (m *Machine) bursarOpen() bool {
+	b := &m.bursar
+	if b.known {
+		return true
+	}
+	longest := m.window
+	for _, k := range b.books {
+		longest = max(longest, k.rest)
+	}
+	return m.now >= m.keeper.wonAt+b.longer(b.Lease+longest)
+}
--- a/internal/shares/shares.go
+++ b/internal/shares/shares.go
@@ -141,12 +141,13 @@
 
 // The kinds of messages.
 const (
-	Claim   MessageKind = iota + 1 // to a keeper: promise me that nobody else is the bursar
-	Promise                        // of a keeper, for the claim of that number
-	Refusal                        // of a keeper: another has my promise, or I have just started
-	Yield                          // to a keeper: I no longer want what you promised me for claims up to this number
-	Ask                            // to the bursar: these credits are wanted, those are done with
-	Reply                          // of the bursar, or of a keeper who is not: who is
+	Claim    MessageKind = iota + 1 // to a keeper: promise me that nobody else is the bursar
+	Promise                         // of a keeper, for the claim of that number
+	Refusal                         // of a keeper: another has my promise, or I have just started
+	Yield                           // to a keeper: I no longer want what you promised me for claims up to this number
+	Ask                             // to the bursar: these credits are wanted, those are done with
+	Handover                        // a yield of a bursar who leaves, with all that still counts in his books
+	Reply                           // of the bursar, or of a keeper who is not: who is
 	messageKinds
 )
 
@@ -158,6 +159,7 @@
 	Roll   uint32 // hash of the keepers' list: those who were told other keepers have nothing to do with each other
 	Number uint64 // of a claim, and of what answers or ends it
 	Bursar string // address, where it is known
+	Prior  ID     // of a promise: whom its keeper promised before
 	Items  []Item
 }
 
--- a/internal/talk/shares.go
+++ b/internal/talk/shares.go
@@ -9,7 +9,8 @@
 )
 
 var sharesKinds = map[shares.MessageKind]SharesKind{shares.Claim: SharesKind_CLAIM, shares.Promise: SharesKind_PROMISE, shares.Refusal: SharesKind_REFUSAL,
-	shares.Yield: SharesKind_YIELD, shares.Ask: SharesKind_CREDIT_ASK, shares.Reply: SharesKind_CREDIT_REPLY}
+	shares.Yield: SharesKind_YIELD, shares.Ask: SharesKind_CREDIT_ASK, shares.Reply: SharesKind_CREDIT_REPLY,
+	shares.Handover: SharesKind_HANDOVER}
 
 // Bounds of what is taken for an amount or a time of another router; what is beyond is no packet of this form.
 const (
@@ -19,7 +20,7 @@
 )
 
 func sharesOut(m *shares.Message) *Shares {
-	out := &Shares{Kind: sharesKinds[m.Kind], Roll: m.Roll, Number: m.Number, Bursar: m.Bursar}
+	out := &Shares{Kind: sharesKinds[m.Kind], Roll: m.Roll, Number: m.Number, Bursar: m.Bursar, Prior: m.Prior.Name, PriorStart: m.Prior.Start}
 	for _, i := range m.Items {
 		out.Items = append(out.Items, &Credit{Number: i.Number, Attempt: i.Try, Kind: uint32(i.Key.Kind), Of: i.Key.Of, At: i.Key.At, Amount: i.Amount,
 			Whole: i.Whole, Rest: i.Rest, Lease: i.Lease, Done: i.Done, Never: i.Never})
@@ -32,7 +33,8 @@
 	if p == nil || len(p.Items) > mostItems {
 		return nil, false
 	}
-	m := &shares.Message{From: shares.ID{Name: from.Name, Start: from.Start}, At: from.Address, Roll: p.Roll, Number: p.Number, Bursar: p.Bursar}
+	m := &shares.Message{From: shares.ID{Name: from.Name, Start: from.Start}, At: from.Address, Roll: p.Roll, Number: p.Number, Bursar: p.Bursar,
+		Prior: shares.ID{Name: p.Prior, Start: p.PriorStart}}
 	for kind, worded := range sharesKinds {
 		if worded == p.Kind {
 			m.Kind = kind
@@ -41,6 +43,9 @@
 	if a, err := netip.ParseAddrPort(p.Bursar); p.Bursar != "" && (err != nil || a.Port() == 0 || len(p.Bursar) > mostName) {
 		return nil, false
 	}
+	if p.Prior != "" && !usable(p.Prior) {
+		return nil, false
+	}
 	for _, c := range p.Items {
 		for of, most := range map[float64]float64{c.Amount: mostAmount, c.Whole: mostAmount, c.Rest: mostTime, c.Lease: mostTime} {
 			if !(of >= 0 && of <= most) { // nor is what is no number
