What is left of a credit goes back once what is wanted does not fit it

Cause: a remainder was kept as long as anything was wanted, and with it all that had been used of the credit counted as lent until the lease had ended: 50 routers that want half as much again as there is used 0.44 of the wholes, a third stood as lent. Change: it goes back at once, and what is wanted is asked for anew.

--- a/internal/shares/machine.go
+++ b/internal/shares/machine.go
@@ -436,7 +436,9 @@
 			case m.now >= g.until:
 				m.stats.Lapsed++
 			case g.left <= 1e-6:
-			case m.now > b.wantAt+m.Idle:
+			case m.now > b.wantAt+m.Idle, b.wantMost > 0 && b.asking == nil:
+				// Nobody wants it, or what is wanted does not fit what is left: kept, its used part too would count as lent
+				// until its lease has ended, which was a third of the whole where far more is wanted than there is.
 				m.stats.Returned++
 			default:
 				return false
@@ -467,10 +469,7 @@
 		if most == 0 || b.asking != nil {
 			continue
 		}
-		amount := max(most, min(sum, b.whole*m.Largest)) - b.left(m.now)
-		if amount <= 0 {
-			continue
-		}
+		amount := max(most, min(sum, b.whole*m.Largest))
 		m.numbers++
 		m.stats.Asked++
 		b.asking = &asking{item: Item{Number: m.numbers, Key: key, Amount: amount, Whole: b.whole, Rest: m.window}, sent: map[uint32]float64{},
