A router that knows of more routers than it was told gives its firm part up

Need: a wrong number of routers in settings is the one thing that the firm share rests on beside the bound on clocks. Change: the machine is told how many are known; more than told, and its firm part is nothing until the next start.

--- a/internal/crowd/purse.go
+++ b/internal/crowd/purse.go
@@ -202,6 +202,9 @@
 // turn sends what may be sent, wants what may not, and does what is due.
 func (h *holder) turn() {
 	c := h.crowd
+	if h.machine != nil {
+		h.machine.Fleet(h.Machine.Count())
+	}
 	for range 4 {
 		for i := 0; i < len(h.held); {
 			w := h.held[i]
--- a/internal/crowd/purse_test.go
+++ b/internal/crowd/purse_test.go
@@ -106,6 +106,22 @@
 	assert.Greater(t, stood, 10)
 }
 
+// A number of routers in settings that is wrong, for all or for one, does not pass the whole once routers know each other.
+func TestAWrongNumberOfRoutersPassesNoWhole(t *testing.T) {
+	for seed, told := range []int{6, 3, 1} {
+		p := purse()
+		p.Told, p.Rate, p.Settings, p.Replaced = told, 900, shares.Defaults(), 0
+		p.Settings.Firm = 0.5
+		c := New(Options{Routers: 12, Seed: uint64(seed), Purse: p})
+		c.StartAll()
+		c.Run(6) // fixed parts alone were twice, four and twelve times the firm share
+		c.Ledger.Broken, c.Ledger.Most = nil, 0
+		c.Run(20)
+		assert.Empty(t, c.Ledger.Broken, "told %d", told)
+		assert.Greater(t, c.Ledger.Most, 0.3)
+	}
+}
+
 // What it rests on: clocks whose rates differ by more than the bound break it.
 func TestWithoutTheBoundOnClocksTheWholeIsPassed(t *testing.T) {
 	broken := 0
--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -93,6 +93,9 @@
 	default:
 		m.settled = max(m.settled, n)
 	}
+	if r.parts != nil {
+		r.parts.machine.Fleet(m.machine.Count())
+	}
 	if m.settled != m.counted {
 		m.counted = m.settled
 		r.brain.Fleet(m.settled)
--- a/internal/shares/machine.go
+++ b/internal/shares/machine.go
@@ -13,6 +13,7 @@
 	Settings
 	self   ID
 	firm   *Plain
+	told   float64 // routers, by settings
 	whole  float64 // for each core, over all routers
 	window float64
 	random *rand.Rand
@@ -103,7 +104,7 @@
 	if s.Firm <= 0 {
 		fixed.Routers = 0
 	}
-	m.firm = NewPlain(fixed)
+	m.firm, m.told = NewPlain(fixed), fixed.Routers
 	if s.rank(s.Listen) >= 0 {
 		// What an earlier start has promised may still hold.
 		m.keeper = &keeper{Settings: &m.Settings, random: m.random, quiet: now + s.longer(s.longer(s.Term))}
@@ -152,6 +153,16 @@
 	m.out = append(m.out, Send{to, message})
 }
 
+// Fleet brings how many routers are known to be there. More than were told: firm parts by that number would sum to more than
+// the firm share, so this router gives its own up until it starts with another number. It covers a wrong number in one
+// router's settings and a fleet that grew; it hurts by the firm part alone.
+func (m *Machine) Fleet(routers int) {
+	if float64(routers) > m.told && m.Firm > 0 && m.firm.part > 0 {
+		m.firm.part = 0
+		m.note(true, "more routers than settings tell: the firm part is given up", "told", m.told, "there", routers)
+	}
+}
+
 // budget gives what this router knows of one.
 func (m *Machine) budget(of Start) *budget {
 	key := ColdKey(of)
