--- a/example/fleet/main.go
+++ b/example/fleet/main.go
@@ -84,7 +84,7 @@
 		return err
 	}
 	if stay {
-		fmt.Printf("\nClients connect to 127.0.0.1:74%02d to 74%02d; 'pitchfield members 127.0.0.1:7600' asks one. Interrupt ends it.\n", 10, 10+routers-1)
+		fmt.Printf("\nClients connect to 127.0.0.1:74%02d to 74%02d; 'pitchfield members 127.0.0.1:7600' and 'pitchfield shares 127.0.0.1:7600' ask one. Interrupt ends it.\n", 10, 10+routers-1)
 		<-ctx.Done()
 	}
 	return nil
@@ -97,8 +97,8 @@
 		return err
 	}
 	config, own := filepath.Join(f.folder, fmt.Sprintf("config-%d.json", i)), filepath.Join(f.folder, fmt.Sprintf("own-%d.toml", i))
-	settings := fmt.Sprintf("[status]\nlisten = %q\n\n[fleet]\nname = \"example\"\nlisten = %q\nseeds = [\"127.0.0.1:7510\", \"127.0.0.1:7511\"]\nnetworks = [\"127.0.0.0/8\"]\n",
-		address(7600), address(7510))
+	settings := fmt.Sprintf("[status]\nlisten = %q\n\n[fleet]\nname = \"example\"\nlisten = %q\nseeds = [\"127.0.0.1:7510\", \"127.0.0.1:7511\"]\nnetworks = [\"127.0.0.0/8\"]\n\n"+
+		"[shares]\nkeepers = [\"127.0.0.1:7510\", \"127.0.0.1:7511\", \"127.0.0.1:7512\"]\n", address(7600), address(7510))
 	if err := errors.Join(os.WriteFile(config, text, 0o600), os.WriteFile(own, []byte(settings), 0o600)); err != nil {
 		return err
 	}
@@ -115,7 +115,14 @@
 		m, err := serve.AskMembers(ctx, "127.0.0.1:7600")
 		if err == nil && m.Certainty == "settled" && m.Count == members {
 			fmt.Printf("\n%s: settled after %.1f s\n", what, time.Since(from).Seconds())
-			return m.Print(os.Stdout)
+			if err := m.Print(os.Stdout); err != nil {
+				return err
+			}
+			s, err := serve.AskShares(ctx, "127.0.0.1:7600")
+			if err != nil {
+				return err
+			}
+			return s.Print(os.Stdout)
 		}
 		time.Sleep(100 * time.Millisecond)
 	}
