A granted part ends no rest of a route; no hopping between keepers amid an election

Seen on reading: what makes batches look again when a credit comes also ended the rest that a route sets before a further dispatch; and keepers that each name another as the bursar could send an asking round each 5 ms for a term.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -245,7 +245,7 @@
 		}
 	} else if r.unhold(b); !b.Over && b.Out == 0 {
 		if b.Route != nil {
-			b.redrawAt = r.now + b.Route.Rest(r.draw())
+			b.wants, b.redrawAt = false, r.now+b.Route.Rest(r.draw())
 		}
 		r.hold(b)
 		r.sweepAt = r.now
@@ -588,7 +588,7 @@
 		}
 		e, figure := r.place(b)
 		if r.lack != nil && (e == nil || r.least < figure) {
-			b.wantAt = cmp.Or(b.wantAt, r.now)
+			b.wants, b.wantAt = true, cmp.Or(b.wantAt, r.now)
 			if b.redrawAt = b.wantAt + r.parts.Want(r.now, r.lack.start(), b.likely); r.now < b.redrawAt {
 				continue
 			}
--- a/brain/seen.go
+++ b/brain/seen.go
@@ -64,10 +64,12 @@
 // so it comes before the first batch, or opens late.
 func (r *Router) Divide(parts shares.Parts) { r.parts, r.moved = parts, true }
 
-// Granted: a part has come, so batches that were put off look again at once.
+// Granted: a part has come, so batches that were put off for want of one look again at once. What rests by its route rests on.
 func (r *Router) Granted() {
 	for _, b := range r.held {
-		b.redrawAt = min(b.redrawAt, r.now)
+		if b.wants {
+			b.redrawAt = min(b.redrawAt, r.now)
+		}
 	}
 	r.gateAt = min(r.gateAt, r.now)
 }
--- a/brain/types.go
+++ b/brain/types.go
@@ -238,6 +238,7 @@
 	likely                       float64 // work that it most likely needs
 	endAt, limitAt, redrawAt     float64
 	wantAt                       float64 // when a part was first wanted for it
+	wants                        bool    // it was put off for want of one; a rest by its route ends that
 	dispatches                   []*dispatch
 	lane                         *lane
 	bound                        *Engine // may have run there
--- a/internal/shares/machine.go
+++ b/internal/shares/machine.go
@@ -31,6 +31,7 @@
 	at      string  // where the bursar is held to be; empty: not known
 	sentAt  float64 // the first asking that nobody has answered; 0: none
 	turn    int     // which keeper is asked next
+	hops    int     // since a bursar answered
 	forget  float64
 
 	ends float64 // of what was spent last
@@ -90,6 +91,7 @@
 	mostItems  = 16 // on one message
 	mostTells  = 256
 	mostTries  = 8
+	mostHops   = 2     // from one keeper to the one he names, without a bursar
 	spacing    = 0.005 // between two messages to the bursar
 	keepBudget = 30.0
 	tidyEvery  = 1.0
@@ -365,11 +367,7 @@
 		return
 	}
 	answers, moved := m.bursar.ask(m.now, k.wonAt, message.From, message.At, message.Items)
-	if len(answers) > 0 {
-		m.send(message.At, Message{Kind: Reply, Bursar: m.Listen, Items: answers})
-	} else {
-		m.send(message.At, Message{Kind: Reply, Bursar: m.Listen})
-	}
+	m.send(message.At, Message{Kind: Reply, Bursar: m.Listen, Items: answers})
 	for _, b := range moved {
 		m.deliver(m.bursar.serve(m.now, k.mine, b))
 	}
@@ -378,12 +376,15 @@
 // replied takes credits in.
 func (m *Machine) replied(message *Message) {
 	m.sentAt = 0
+	if m.hops++; message.Bursar == message.At { // he says so himself
+		m.hops = 0
+	}
 	if message.Bursar != m.at {
 		m.at, m.askAt = message.Bursar, m.now+spacing
-		if m.at == "" {
-			m.turn++
-			m.askAt = m.now + m.Again
-		}
+	}
+	if m.at == "" || m.hops > mostHops { // keepers amid an election may each name another for a while
+		m.at, m.askAt = "", m.now+m.Again
+		m.turn++
 	}
 	for _, i := range message.Items {
 		if i.Done {
