Explored: an answer to a router's earlier start is not taken by the next one

Seen: internal/explore takes the machines of shares through what may happen in small worlds. A walk found a broken whole, made short to sixteen steps: a router is killed with a credit on the way and starts again; numbers begin anew, the old answer has the number of its first asking, and the lease is taken to run from that. Change: answers name the start that they are for. Keepers' waits go by rank and claim, so that no chance is left in the machine; a lease that is too short is a tenth of a whole one (the repeat of askings was taken for it, and with slow repeats nothing was given).

--- a/internal/crowd/purse.go
+++ b/internal/crowd/purse.go
@@ -192,7 +192,7 @@
 		for i := range min(p.Keepers, len(c.Nodes)) { // spread over all
 			s.Keepers = append(s.Keepers, c.Nodes[i*len(c.Nodes)/min(p.Keepers, len(c.Nodes))].Address)
 		}
-		h.machine = shares.New(s, shares.ID{Name: n.Name, Start: c.starts}, fixed, c.Seed<<20^uint64(n.Life)<<40^c.starts, n.now())
+		h.machine = shares.New(s, shares.ID{Name: n.Name, Start: c.starts}, fixed, n.now())
 		h.parts = h.machine
 	}
 	n.purse = h
--- a/internal/emulator/talk.go
+++ b/internal/emulator/talk.go
@@ -47,8 +47,6 @@
 			var shared *shares.Message
 			if w.Shares != nil {
 				one := *w.Shares
-				// What says who it is from is the packet, as on a network.
-				one.From, one.At = shares.ID{Name: said.From.Name, Start: said.From.Start}, said.From.Address
 				shared = &one
 			}
 			to.tell(router.TalkCame{Message: &said, Shares: shared})
--- /dev/null
+++ b/internal/explore/shares.go
@@ -0,0 +1,299 @@
+package explore
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"pitchfield/internal/shares"
+)
+
+// Kinds of what may happen to routers that divide a whole.
+const (
+	Tick    uint8 = iota // a step of time passes; whoever runs and is due wakes
+	Deliver              // a message comes
+	Again                // it comes, and comes once more later
+	Use                  // a router sends a unit of work if it may, and else wants it
+	Late                 // it looks, may, and stands still before it sends
+	Send                 // what stood still goes on: it sends if it still may
+	Kill                 // a router ends without a word, and starts again with nothing remembered
+	Stop                 // a router stands still,
+	Go                   // and goes on
+	Leave                // it ends in peace, and starts again
+	eventKinds
+)
+
+var eventNames = [eventKinds]string{"time passes", "is delivered", "is delivered, and will be again", "uses a unit", "looks, and stands still before it sends", "goes on to send", "is killed and starts again",
+	"stops", "goes on", "leaves and starts again"}
+
+// Word tells an event.
+func Word(e Event) string {
+	switch e.Kind {
+	case Tick:
+		return eventNames[Tick]
+	case Deliver, Again:
+		return fmt.Sprintf("message %d %s", e.Of, eventNames[e.Kind])
+	}
+	return fmt.Sprintf("router %d %s", e.Of, eventNames[e.Kind])
+}
+
+// Shares is a small world of routers that divide one whole. Times are seconds.
+type Shares struct {
+	Routers, Keepers int
+	Step             float64 // that passes at once
+	Whole            float64 // units; a use takes one
+	Window           float64
+	Settings         shares.Settings // but for keepers and address
+	Kills, Stops     int             // that may happen in all,
+	Lates, Doubles   int
+	Leaves           int
+	InFlight         int       // messages at the most; an older one is lost
+	Rates            []float64 // of the routers' clocks; none: all are true
+	Settle           float64   // seconds that pass before anything goes wrong, with every message delivered
+}
+
+type sharesWorld struct {
+	Shares
+	now    float64
+	starts uint64
+	all    []*shareRouter
+	flight []flying
+	uses   []float64 // when units came to the engine, within the window
+}
+
+type shareRouter struct {
+	number  int
+	machine *shares.Machine
+	stopped bool
+	late    []float64 // by when what stands still has to be sent, in its own time
+}
+
+type flying struct {
+	to      int
+	message shares.Message
+}
+
+var engine = shares.Start{Engine: 1, At: 1, Cores: 1}
+
+// New makes a world, settled.
+func (s Shares) New() World {
+	w := &sharesWorld{Shares: s, now: 1000}
+	for i := range s.Routers {
+		w.all = append(w.all, &shareRouter{number: i})
+		w.start(i)
+	}
+	for end := w.now + s.Settle; w.now < end; {
+		w.Do(Event{Tick, 0})
+		for len(w.flight) > 0 {
+			w.Do(Event{Deliver, 0})
+		}
+	}
+	return w
+}
+
+func address(i int) string { return fmt.Sprintf("10.0.0.%d:1", i+1) }
+
+func (w *sharesWorld) own(i int) float64 {
+	if i < len(w.Rates) {
+		return 1000 + (w.now-1000)*w.Rates[i]
+	}
+	return w.now
+}
+
+func (w *sharesWorld) start(i int) {
+	w.starts++
+	s := w.Settings
+	s.Listen = address(i)
+	for k := range w.Keepers {
+		s.Keepers = append(s.Keepers, address(k))
+	}
+	r := w.all[i]
+	r.stopped, r.late = false, nil
+	r.machine = shares.New(s, shares.ID{Name: fmt.Sprint("n", i), Start: w.starts}, shares.Fixed{Whole: w.Whole, Window: w.Window, Routers: float64(w.Routers), Index: i, Sharers: 16,
+		Began: w.own(i)}, w.own(i))
+}
+
+func (w *sharesWorld) Events() (out []Event) {
+	out = append(out, Event{Tick, 0})
+	for i := range w.flight {
+		out = append(out, Event{Deliver, uint8(i)}) // one that is never delivered is lost
+		if w.Doubles > 0 {
+			out = append(out, Event{Again, uint8(i)})
+		}
+	}
+	for i, r := range w.all {
+		of := func(kind uint8) { out = append(out, Event{kind, uint8(i)}) }
+		if r.stopped {
+			of(Go)
+			continue
+		}
+		of(Use)
+		if w.Lates > 0 {
+			of(Late)
+		}
+		if len(r.late) > 0 {
+			of(Send)
+		}
+		if w.Kills > 0 {
+			of(Kill)
+		}
+		if w.Stops > 0 {
+			of(Stop)
+		}
+		if w.Leaves > 0 {
+			of(Leave)
+		}
+	}
+	return out
+}
+
+func (w *sharesWorld) Do(e Event) {
+	i := int(e.Of)
+	switch e.Kind {
+	case Tick:
+		w.now += w.Step
+		w.uses = slices.DeleteFunc(w.uses, func(at float64) bool { return at <= w.now-w.Window })
+		for k, r := range w.all {
+			if !r.stopped && r.machine.At() <= w.own(k) {
+				r.machine.Wake(w.own(k))
+				w.said(r)
+			}
+		}
+	case Deliver, Again:
+		f := w.flight[i]
+		if e.Kind != Again {
+			w.flight = slices.Delete(w.flight, i, i+1)
+		} else {
+			w.Doubles--
+		}
+		if r := w.all[f.to]; !r.stopped {
+			message := f.message
+			r.machine.Heard(w.own(f.to), &message)
+			w.said(r)
+		}
+	case Use, Late:
+		r := w.all[i]
+		if !r.machine.Room(w.own(i), engine, 1) {
+			r.machine.Want(w.own(i), engine, 1)
+			r.machine.Wake(w.own(i))
+			w.said(r)
+			return
+		}
+		r.machine.Spend(w.own(i), engine, 1)
+		by := r.machine.Ends()
+		if e.Kind == Late {
+			w.Lates--
+			r.late = append(r.late, by)
+		} else {
+			w.use()
+		}
+		r.machine.Wake(w.own(i))
+		w.said(r)
+	case Send:
+		r := w.all[i]
+		by := r.late[0]
+		r.late = r.late[1:]
+		if w.own(i) < by {
+			w.use()
+		}
+	case Kill:
+		w.Kills--
+		w.start(i)
+	case Leave:
+		w.Leaves--
+		w.all[i].machine.Leave(w.own(i))
+		w.said(w.all[i])
+		w.start(i)
+	case Stop:
+		w.Stops--
+		w.all[i].stopped = true
+	case Go:
+		r := w.all[i]
+		r.stopped = false
+		if r.machine.At() <= w.own(i) {
+			r.machine.Wake(w.own(i))
+			w.said(r)
+		}
+	}
+}
+
+func (w *sharesWorld) use() { w.uses = append(w.uses, w.now) }
+
+func (w *sharesWorld) said(r *shareRouter) {
+	r.machine.Notes()
+	r.machine.Came()
+	for _, s := range r.machine.Sends() {
+		for i := range w.all {
+			if address(i) == s.To {
+				w.flight = append(w.flight, flying{i, s.Message})
+			}
+		}
+	}
+	if n := len(w.flight) - w.InFlight; n > 0 {
+		w.flight = slices.Delete(w.flight, 0, n)
+	}
+}
+
+func (w *sharesWorld) Print(out *strings.Builder) {
+	for i, r := range w.all {
+		r.machine.Print(out)
+		fmt.Fprintf(out, "%v", r.stopped)
+		for _, by := range r.late {
+			fmt.Fprintf(out, " %.4g", by-w.own(i))
+		}
+	}
+	for _, f := range w.flight {
+		fmt.Fprintf(out, "%d%v", f.to, f.message)
+	}
+	for _, at := range w.uses {
+		fmt.Fprintf(out, " %.4g", at-w.now)
+	}
+	fmt.Fprint(out, w.Kills, w.Stops, w.Lates, w.Doubles, w.Leaves)
+}
+
+// Broken: what all may still use without asking, and what came within the window, is at most the whole. A credit in the hands of a
+// router that stands still counts by its own clock, since that is what it will look at.
+func (w *sharesWorld) Broken() string {
+	sum := float64(len(w.uses))
+	for i, r := range w.all {
+		sum += r.machine.InHand(w.own(i), engine)
+		for _, by := range r.late {
+			if w.own(i) < by {
+				sum++
+			}
+		}
+	}
+	if sum > w.Whole+1e-6 {
+		return fmt.Sprintf("%g may be used or came within the window, and the whole is %g", sum, w.Whole)
+	}
+	return ""
+}
+
+// Named is a world with a name.
+type Named struct {
+	Name string
+	Shares
+}
+
+// Worlds are those that are explored: an office lasts four steps, a credit two, and a use counts for three and a little.
+func Worlds() (out []Named) {
+	add := func(name string, edit func(s *Shares)) {
+		own := shares.Defaults()
+		own.Firm, own.Lease, own.Term, own.Again, own.Idle, own.Largest = 0, 0.5, 1, 1, 0.5, 1
+		s := Shares{Routers: 2, Keepers: 1, Step: 0.25, Whole: 2, Window: 0.75, Settings: own, InFlight: 4, Settle: 5}
+		edit(&s)
+		out = append(out, Named{name, s})
+	}
+	add("one keeper, two kills", func(s *Shares) { s.Kills = 2 })
+	add("one keeper, a stop and a late send", func(s *Shares) { s.Stops, s.Lates = 1, 1 })
+	add("one keeper, doubles", func(s *Shares) { s.Doubles = 2 })
+	add("one keeper, clocks that differ", func(s *Shares) { s.Stops, s.Rates = 1, []float64{1.008, 0.992} })
+	add("three keepers, two kills", func(s *Shares) { s.Routers, s.Keepers, s.Kills = 3, 3, 2 })
+	add("three keepers, a stop", func(s *Shares) { s.Routers, s.Keepers, s.Stops = 3, 3, 1 })
+	add("three keepers, one leaves", func(s *Shares) { s.Routers, s.Keepers, s.Leaves = 3, 3, 1 })
+	add("three keepers, all of it", func(s *Shares) {
+		s.Routers, s.Keepers, s.Kills, s.Stops, s.Lates, s.Doubles, s.Leaves, s.InFlight = 4, 3, 12, 12, 20, 40, 6, 10
+		s.Rates = []float64{1.008, 0.992, 1, 1.004}
+	})
+	return out
+}
--- a/internal/router/shares.go
+++ b/internal/router/shares.go
@@ -19,7 +19,7 @@
 
 // setShares puts the division that moves in place of the fixed one.
 func (r *Router) setShares(s *shares.Settings, self shares.ID) {
-	r.parts = &parts{machine: shares.New(*s, self, r.brain.Fixed(), r.settings.Seed, r.now)}
+	r.parts = &parts{machine: shares.New(*s, self, r.brain.Fixed(), r.now)}
 	r.brain.Divide(r.parts.machine)
 	r.log(Info, "shares", "keepers", s.Keepers, "firm", s.Firm)
 }
--- a/internal/router/shares_test.go
+++ b/internal/router/shares_test.go
@@ -62,7 +62,7 @@
 	}
 	from := membership.Member{ID: membership.ID{Name: "other", Start: 1}, Address: bursar}
 	h.tell(TalkCame{Message: &membership.Message{Kind: membership.Tell, From: from}, Shares: &shares.Message{Kind: shares.Reply, Roll: roll,
-		From: shares.ID{Name: "other", Start: 1}, At: bursar, Bursar: bursar, Items: []shares.Item{{Number: i.Number, Try: i.Try, Key: i.Key, Amount: i.Amount, Lease: lease}}}})
+		To: 1, From: shares.ID{Name: "other", Start: 1}, At: bursar, Bursar: bursar, Items: []shares.Item{{Number: i.Number, Try: i.Try, Key: i.Key, Amount: i.Amount, Lease: lease}}}})
 }
 
 func TestAHeavyBatchGoesToAColdEngineByACredit(t *testing.T) {
--- a/internal/shares/bursar.go
+++ b/internal/shares/bursar.go
@@ -200,11 +200,11 @@
 	k.drop(now)
 	reply := func(w *wait, i Item) {
 		i.Number, i.Try, i.Key = w.Number, w.item.Try, k.key
-		out = append(out, Send{w.to, Message{Kind: Reply, Items: []Item{i}}})
+		out = append(out, Send{w.to, Message{Kind: Reply, To: w.Start, Items: []Item{i}}})
 	}
 	k.waiting = slices.DeleteFunc(k.waiting, func(w *wait) bool { return now > w.heard+4*b.Again })
 	lease := min(b.Lease, (office-now)/(1+2*b.Drift))
-	if now < k.openAt || lease < b.Again {
+	if now < k.openAt || lease < b.Lease/10 {
 		return nil
 	}
 	free := b.pool(k) - k.sum
--- a/internal/shares/fuzz_test.go
+++ b/internal/shares/fuzz_test.go
@@ -27,7 +27,7 @@
 		r := &reader{data}
 		s := Defaults()
 		s.Keepers, s.Listen = addresses[:1+2*r.next(2)], addresses[0]
-		m, now := New(s, ID{"n1", 1}, Fixed{Whole: 4, Window: 1, Routers: 3, Sharers: 16, Began: 90}, 3, 100), 100.0
+		m, now := New(s, ID{"n1", 1}, Fixed{Whole: 4, Window: 1, Routers: 3, Sharers: 16, Began: 90}, 100), 100.0
 		to := func() Start { return Start{Engine: uint32(r.next(2)), At: 50, Cores: 1} }
 		for len(r.data) > 0 {
 			now += []float64{0, 0.001, 0.05, 0.3, 1, 3}[r.next(6)]
@@ -43,7 +43,7 @@
 					require.GreaterOrEqual(t, m.Ends(), now, "what is spent may still be written")
 				}
 			default:
-				message := &Message{Kind: MessageKind(1 + r.next(6)), From: ID{fmt.Sprint("n", 2+r.next(3)), uint64(r.next(2))}, At: addresses[1+r.next(3)], Roll: s.roll(),
+				message := &Message{Kind: MessageKind(1 + r.next(6)), From: ID{fmt.Sprint("n", 2+r.next(3)), uint64(r.next(2))}, At: addresses[1+r.next(3)], Roll: s.roll(), To: uint64(r.next(4) / 2),
 					Number: uint64(r.next(12)), Bursar: append(addresses, "")[r.next(5)]}
 				for range r.next(3) {
 					message.Items = append(message.Items, Item{Number: uint64(r.next(6)), Try: uint32(r.next(3)), Key: ColdKey(to()), Amount: float64(r.next(48)) / 8,
--- a/internal/shares/keeper.go
+++ b/internal/shares/keeper.go
@@ -1,17 +1,13 @@
 package shares
 
-import (
-	"math/rand/v2"
-	"slices"
-)
+import "slices"
 
 // keeper is the part of one that promises, and may become the bursar itself. Leases by promises of most, without a disk, are
 // PaxosLease's (Trencseni, Gazso, Reinhardt, 2012): who has just started promises nothing until all that it may have promised
 // before has ended.
 type keeper struct {
 	*Settings
-	random *rand.Rand
-	quiet  float64 // nothing is promised before
+	quiet float64 // nothing is promised before
 
 	to     ID // who has the promise,
 	toAt   string
@@ -47,6 +43,9 @@
 // rank of an address among the keepers; below 0: none.
 func (s *Settings) rank(address string) int { return slices.Index(s.Keepers, address) }
 
+// spread is another number from 0 to 1 for each keeper and each of its claims, so that seldom two claim at once.
+func (k *keeper) spread() float64 { return Mix(uint64(k.rank(k.Listen))+1, k.number+1) }
+
 // promised tells whether another's claim stands.
 func (k *keeper) promised(now float64, but ID) bool { return now < k.until && k.to != but }
 
@@ -100,7 +99,7 @@
 		k.first = 0
 		return false
 	case k.first == 0:
-		k.first = now + (float64(k.rank(k.Listen))+k.random.Float64())*k.Term/8
+		k.first = now + (float64(k.rank(k.Listen))+k.spread())*k.Term/8
 	}
 	return now >= k.first
 }
@@ -171,7 +170,7 @@
 		k.until = min(k.until, now)
 	}
 	k.wonAt, k.mine, k.claims = 0, 0, nil
-	k.first = now + k.Term*(0.25+k.random.Float64())
+	k.first = now + k.Term*(0.25+k.spread())
 	k.tryAt = k.first
 	return Message{Kind: Yield, Number: k.number}
 }
--- a/internal/shares/machine.go
+++ b/internal/shares/machine.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"math"
-	"math/rand/v2"
 	"slices"
 )
 
@@ -16,7 +15,6 @@
 	told   float64 // routers, by settings
 	whole  float64 // for each core, over all routers
 	window float64
-	random *rand.Rand
 	now    float64
 
 	keeper *keeper // nil: this router is none
@@ -98,8 +96,8 @@
 )
 
 // New makes one. fixed is the division without talk, of which the firm share stays.
-func New(s Settings, self ID, fixed Fixed, seed uint64, now float64) *Machine {
-	m := &Machine{Settings: s, self: self, whole: fixed.Whole, window: fixed.Window + overlap, random: rand.New(rand.NewPCG(seed, 0x736861726573)),
+func New(s Settings, self ID, fixed Fixed, now float64) *Machine {
+	m := &Machine{Settings: s, self: self, whole: fixed.Whole, window: fixed.Window + overlap,
 		now: now, ends: math.Inf(1), bursar: bursar{Settings: &s, books: map[Key]*book{}}, budgets: map[Key]*budget{}}
 	m.bursar.Settings = &m.Settings
 	fixed.Whole *= s.Firm
@@ -109,7 +107,7 @@
 	m.firm, m.told = NewPlain(fixed), fixed.Routers
 	if s.rank(s.Listen) >= 0 {
 		// What an earlier start has promised may still hold.
-		m.keeper = &keeper{Settings: &m.Settings, random: m.random, quiet: now + s.longer(s.longer(s.Term))}
+		m.keeper = &keeper{Settings: &m.Settings, quiet: now + s.longer(s.longer(s.Term))}
 	}
 	return m
 }
@@ -316,7 +314,7 @@
 // Heard takes in a message of this fleet. It has been checked for its form.
 func (m *Machine) Heard(now float64, message *Message) {
 	m.clock(now)
-	if message.Roll != m.roll() || message.From == m.self {
+	if message.Roll != m.roll() || message.From == m.self || message.answers() && message.To != m.self.Start {
 		return
 	}
 	m.stats.Heard++
@@ -332,11 +330,11 @@
 		}
 		was := k.office(m.now)
 		if was && message.Kind == Claim { // we have most of the promises: this one is behind
-			m.send(message.At, Message{Kind: Refusal, Number: message.Number, Bursar: m.Listen})
+			m.send(message.At, Message{Kind: Refusal, To: message.From.Start, Number: message.Number, Bursar: m.Listen})
 			return
 		}
 		if answer := k.hear(m.now, message); answer != 0 {
-			m.send(message.At, Message{Kind: answer, Number: message.Number, Bursar: k.toAt, Prior: k.prior})
+			m.send(message.At, Message{Kind: answer, To: message.From.Start, Number: message.Number, Bursar: k.toAt, Prior: k.prior})
 		}
 	case Promise, Refusal:
 		if k == nil {
@@ -359,7 +357,7 @@
 func (m *Machine) asked(message *Message) {
 	k := m.keeper
 	if k == nil || !k.office(m.now) {
-		reply := Message{Kind: Reply}
+		reply := Message{Kind: Reply, To: message.From.Start}
 		if k != nil && m.now < k.until && k.toAt != m.Listen {
 			reply.Bursar = k.toAt
 		}
@@ -367,7 +365,7 @@
 		return
 	}
 	answers, moved := m.bursar.ask(m.now, k.wonAt, message.From, message.At, message.Items)
-	m.send(message.At, Message{Kind: Reply, Bursar: m.Listen, Items: answers})
+	m.send(message.At, Message{Kind: Reply, To: message.From.Start, Bursar: m.Listen, Items: answers})
 	for _, b := range moved {
 		m.deliver(m.bursar.serve(m.now, k.mine, b))
 	}
--- a/internal/shares/shares.go
+++ b/internal/shares/shares.go
@@ -1,6 +1,6 @@
 // Package shares divides among the routers of a fleet what they may use of something only together: work that an engine which
 // has just started bears, say. It is pure: times, messages and wishes come in, messages and answers go out; it reads no clock,
-// opens no socket, and draws chance from its seed alone.
+// opens no socket and draws no chance.
 //
 // There are two forms. Plain is a fixed division by the number of routers that settings tell, without talk. Machine moves
 // parts to where they are wanted: a bursar, who holds a lease from most of some named keepers, gives credits that end by
@@ -157,6 +157,7 @@
 	Kind   MessageKind
 	From   ID
 	At     string // address of the sender
+	To     uint64 // of an answer: the start that it is for. Numbers begin anew with each, and an answer may come to the next one
 	Roll   uint32 // hash of the keepers' list: those who were told other keepers have nothing to do with each other
 	Number uint64 // of a claim, and of what answers or ends it
 	Bursar string // address, where it is known
@@ -164,6 +165,9 @@
 	Items  []Item
 }
 
+// answers tells whether it is an answer to one start of a router.
+func (m *Message) answers() bool { return m.Kind == Promise || m.Kind == Refusal || m.Kind == Reply }
+
 // Item is about one credit.
 type Item struct {
 	Number uint64 // of its holder's
--- a/internal/talk/shares.go
+++ b/internal/talk/shares.go
@@ -20,7 +20,8 @@
 )
 
 func sharesOut(m *shares.Message) *Shares {
-	out := &Shares{Kind: sharesKinds[m.Kind], Roll: m.Roll, Number: m.Number, Bursar: m.Bursar, Prior: m.Prior.Name, PriorStart: m.Prior.Start}
+	out := &Shares{Kind: sharesKinds[m.Kind], Roll: m.Roll, Number: m.Number, Bursar: m.Bursar, Prior: m.Prior.Name, PriorStart: m.Prior.Start,
+		Start: m.From.Start, To: m.To}
 	for _, i := range m.Items {
 		out.Items = append(out.Items, &Credit{Number: i.Number, Attempt: i.Try, Kind: uint32(i.Key.Kind), Of: i.Key.Of, At: i.Key.At, Amount: i.Amount,
 			Whole: i.Whole, Rest: i.Rest, Lease: i.Lease, Done: i.Done, Never: i.Never})
@@ -33,7 +34,7 @@
 	if p == nil || len(p.Items) > mostItems {
 		return nil, false
 	}
-	m := &shares.Message{From: shares.ID{Name: from.Name, Start: from.Start}, At: from.Address, Roll: p.Roll, Number: p.Number, Bursar: p.Bursar,
+	m := &shares.Message{From: shares.ID{Name: from.Name, Start: p.Start}, At: from.Address, To: p.To, Roll: p.Roll, Number: p.Number, Bursar: p.Bursar,
 		Prior: shares.ID{Name: p.Prior, Start: p.PriorStart}}
 	for kind, worded := range sharesKinds {
 		if worded == p.Kind {
