--- a/internal/crowd/purse_test.go
+++ b/internal/crowd/purse_test.go
@@ -102,13 +102,13 @@
 		sent, stood = sent+c.Ledger.Sent, stood+c.Ledger.Stood
 	}
 	t.Log(sent, "sent,", stood, "not, since what allowed them had ended")
-	assert.Greater(t, sent, 8000)
+	assert.Greater(t, sent, 10000)
 	assert.Greater(t, stood, 10)
 }
 
 // A number of routers in settings that is wrong, for all or for one, does not pass the whole once routers know each other.
 func TestAWrongNumberOfRoutersPassesNoWhole(t *testing.T) {
-	for seed, told := range []int{6, 1} {
+	for seed, told := range []int{6, 3, 1} {
 		p := purse()
 		p.Told, p.Rate, p.Settings, p.Replaced = told, 400, shares.Defaults(), 0
 		p.Settings.Firm = 0.5
--- a/internal/explore/explore_test.go
+++ b/internal/explore/explore_test.go
@@ -13,7 +13,7 @@
 		t.Run(w.Name, func(t *testing.T) {
 			f := Explore(w.New, 30, 4000)
 			require.Empty(t, f.Broken, Story(w.New, f.Way, Word))
-			assert.Greater(t, f.States, 1000)
+			assert.Greater(t, f.States, 2000)
 			walked := Walk(w.New, 1, 100, 300)
 			require.Empty(t, walked.Broken, Story(w.New, walked.Way, Word))
 			t.Logf("%d states, %d events tried, all to a depth of %d", f.States, f.Steps, f.Depth)
