Torture: names that come back wait for whoever has the router's process

With the file written last by the start, a router could be told of a name service that is gone.

Change: the step takes the router's own lock, before the fleet's, as all others do.

--- a/internal/torture/play.go
+++ b/internal/torture/play.go
@@ -338,6 +338,8 @@
 		r.names.Close()
 		p.world.Unlock()
 		time.Sleep(s.For)
+		r.busy.Lock() // before the fleet's, as everywhere: a start reads where the names are, and writes the same file
+		defer r.busy.Unlock()
 		p.world.Lock()
 		p.failed(r.moveNames())
 	case EngineMute:
