--- a/internal/crowd/crowd.go
+++ b/internal/crowd/crowd.go
@@ -33,6 +33,7 @@
 	Options
 	Now     float64
 	Nodes   []*Node
+	by      map[string]*Node // by address
 	chance  *rand.Rand
 	queue   moments
 	seq     uint64
@@ -102,7 +103,7 @@
 	if o.Way == 0 {
 		o.Way = 0.0005
 	}
-	c := &Crowd{Options: o, Now: epoch, chance: rand.New(rand.NewPCG(o.Seed, 0x63726f7764))}
+	c := &Crowd{Options: o, Now: epoch, by: map[string]*Node{}, chance: rand.New(rand.NewPCG(o.Seed, 0x63726f7764))}
 	for i := range o.Routers {
 		n := &Node{Name: fmt.Sprintf("n%d", i+1), Address: fmt.Sprintf("10.%d.%d.%d:7500", i/62500, i/250%250, i%250+1), crowd: c}
 		n.number, n.rate = i, 1
@@ -112,7 +113,7 @@
 		if o.Purse != nil {
 			n.rate += o.Purse.Drift * (2*c.chance.Float64() - 1)
 		}
-		c.Nodes = append(c.Nodes, n)
+		c.Nodes, c.by[n.Address] = append(c.Nodes, n), n
 	}
 	if o.Purse != nil {
 		c.Ledger = newLedger(c)
@@ -298,17 +299,8 @@
 	}
 }
 
-// at is who listens at an address.
-func (c *Crowd) at(address string) *Node {
-	var a, b, d, port int
-	if n, err := fmt.Sscanf(address, "10.%d.%d.%d:%d", &a, &b, &d, &port); err != nil || n != 4 {
-		return nil
-	}
-	if i := a*62500 + b*250 + d - 1; i >= 0 && i < len(c.Nodes) {
-		return c.Nodes[i]
-	}
-	return nil
-}
+// at is who listens at an address; nil: nobody.
+func (c *Crowd) at(address string) *Node { return c.by[address] }
 
 // Living are those whose process runs.
 func (c *Crowd) Living() (out []*Node) {
