--- a/internal/crowd/crowd.go
+++ b/internal/crowd/crowd.go
@@ -33,7 +33,7 @@
 	Options
 	Now     float64
 	Nodes   []*Node
-	by      map[string]*Node // by address
+	by      map[string]*Node // that have started, by address
 	chance  *rand.Rand
 	queue   moments
 	seq     uint64
@@ -113,7 +113,7 @@
 		if o.Purse != nil {
 			n.rate += o.Purse.Drift * (2*c.chance.Float64() - 1)
 		}
-		c.Nodes, c.by[n.Address] = append(c.Nodes, n), n
+		c.Nodes = append(c.Nodes, n)
 	}
 	if o.Purse != nil {
 		c.Ledger = newLedger(c)
@@ -141,6 +141,7 @@
 // Start starts a process, with nothing remembered.
 func (c *Crowd) Start(n *Node) {
 	c.starts++
+	c.by[n.Address] = n
 	s := c.Settings
 	s.Self, s.Listen = membership.ID{Name: n.Name, Start: uint64(c.Now*1e3) + c.starts}, n.Address
 	s.Seeds = []string{c.Nodes[0].Address, c.Nodes[len(c.Nodes)/2].Address}
