Shares: free further dispatches and dispatches out are divided among all routers

A route's free further dispatches and what it may have out were each router's own, so 300 routers had 300 times what the operator wrote.

Change: budgets are named, have a rest of their own, and may be held: a use of that counts until it is freed, and of whoever can't say so any more for as long as it may last. What is freed is taken from the credit that ends first, so what is still out is covered by credits that end no sooner (shares.Purse.Freed). 'fleet = true' of a budget and 'routers = N' of a concurrency, refused without [fleet] and [shares].

Stories of the router, eight more bad files.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -150,7 +150,7 @@
 		r.lanes[b.Key] = b.lane
 	}
 	first := len(b.lane.line) == 0 && b.lane.out == 0 // one behind another of its key might end out of order
-	bound := b.Route.Comes()
+	bound := b.Route.Comes(r.now)
 	if b.Shed = first && bound == limits.Wait && r.shed(b); b.Shed || first && bound != limits.Wait {
 		out := r.giveUp(b)
 		if bound == limits.Refuse {
@@ -188,13 +188,13 @@
 func (r *Router) hold(b *Batch) {
 	i := sort.Search(len(r.held), func(i int) bool { return r.held[i].demand > b.demand })
 	r.held = slices.Insert(r.held, i, b)
-	b.Route.Uses(0, 1)
+	b.Route.Uses(r.now, 0, 1)
 }
 
 func (r *Router) unhold(b *Batch) {
 	n := len(r.held)
 	r.held = without(r.held, b)
-	b.Route.Uses(0, len(r.held)-n)
+	b.Route.Uses(r.now, 0, len(r.held)-n)
 }
 
 func (r *Router) Left(b *Batch) {
@@ -211,7 +211,7 @@
 	d, e := b.dispatches[no], b.dispatches[no].engine
 	d.ended, d.end, e.outs = true, end, without(e.outs, d)
 	b.Out, b.lane.out = b.Out-1, b.lane.out-1
-	b.Route.Uses(-1, 0)
+	b.Route.Uses(r.now, -1, 0)
 	if e.Limit != nil && end != Withdrawn && end != NotSent {
 		e.Limit.Ended(d.sample(r.now, took, work))
 	}
@@ -612,8 +612,8 @@
 	var first, worst *Batch
 	slow, most := 0, 0.0
 	for _, b := range r.held {
-		if b.redrawAt > r.now || !r.turn(b) || !b.Route.Room() ||
-			len(b.dispatches) > 0 && (!r.again(b) || r.rationed && r.spent()) {
+		if b.redrawAt > r.now || !r.turn(b) || len(b.dispatches) > 0 && (!r.again(b) || r.rationed && r.spent() ||
+			!b.Route.Ready(r.now) || !r.all.Ready(r.now)) || !b.Route.Room(r.now) {
 			continue
 		}
 		first = cmp.Or(first, b)
@@ -776,7 +776,7 @@
 	if b.Out > 0 {
 		b.Route.Copied(r.now)
 	}
-	b.Route.Uses(1, 0)
+	b.Route.Uses(r.now, 1, 0)
 	d := &dispatch{batch: b, engine: e, number: len(b.dispatches), sent: r.now, still: r.still,
 		takes: amount{1, b.Group.Threads, min(b.memory*memorySpare, r.largestGrant*e.memory)}}
 	b.dispatches = append(b.dispatches, d)
--- a/internal/explore/shares.go
+++ b/internal/explore/shares.go
@@ -20,11 +20,13 @@
 	Stop                 // a router stands still,
 	Go                   // and goes on
 	Leave                // it ends in peace, and starts again
+	First                // of what it holds, what it began first ends
+	Last                 // and what it began last
 	eventKinds
 )
 
 var eventNames = [eventKinds]string{"time passes", "is delivered", "is delivered, and will be again", "uses a unit", "looks, and stands still before it sends", "goes on to send", "is killed and starts again",
-	"stops", "goes on", "leaves and starts again"}
+	"stops", "goes on", "leaves and starts again", "ends what it began first", "ends what it began last"}
 
 // Word tells an event.
 func Word(e Event) string {
@@ -50,6 +52,7 @@
 	InFlight         int       // messages at the most; an older one is lost
 	Rates            []float64 // of the routers' clocks; none: all are true
 	Settle           float64   // seconds that pass before anything goes wrong, with every message delivered
+	Held             bool      // a use lasts until its router ends it, or for a window, in which whoever does it ends it himself
 }
 
 type sharesWorld struct {
@@ -58,13 +61,23 @@
 	starts uint64
 	all    []*shareRouter
 	flight []flying
-	uses   []float64 // when units came to the engine, within the window
+	uses   []used // units that came to the engine, within the window
+}
+
+// used is a unit of work. Of what is held: as long as it lasts.
+type used struct {
+	at   float64
+	by   int
+	life uint64 // the start of its router that began it
 }
 
 type shareRouter struct {
 	number  int
+	life    uint64
+	purse   *shares.Purse // of what is held
 	machine *shares.Machine
 	stopped bool
+	ended   int       // what it held and has ended while it stood still
 	late    []float64 // by when what stands still has to be sent, in its own time
 }
 
@@ -108,9 +121,76 @@
 		s.Keepers = append(s.Keepers, address(k))
 	}
 	r := w.all[i]
-	r.stopped, r.late = false, nil
+	r.stopped, r.ended, r.late, r.life = false, 0, nil, w.starts
 	r.machine = shares.New(s, shares.ID{Name: fmt.Sprint("n", i), Start: w.starts}, shares.Fixed{Whole: w.Whole, Window: w.Window, Routers: float64(w.Routers), Index: i, Sharers: 16,
 		Began: w.own(i)}, w.own(i))
+	r.purse = r.machine.Purse(shares.Budget{Key: w.key(), Whole: w.Whole, Rest: w.Window})
+}
+
+func (w *sharesWorld) key() shares.Key {
+	if w.Held {
+		return shares.NamedKey(shares.Concurrency, "held")
+	}
+	return shares.ColdKey(engine)
+}
+
+// room, spend and want are a router's for one unit.
+func (w *sharesWorld) room(i int) bool {
+	if w.Held {
+		return w.all[i].purse.Room(w.own(i), 1)
+	}
+	return w.all[i].machine.Room(w.own(i), engine, 1)
+}
+
+func (w *sharesWorld) spend(i int) {
+	if w.Held {
+		w.all[i].purse.Spend(w.own(i), 1)
+	} else {
+		w.all[i].machine.Spend(w.own(i), engine, 1)
+	}
+}
+
+func (w *sharesWorld) want(i int) {
+	if w.Held {
+		w.all[i].purse.Want(w.own(i), 1)
+	} else {
+		w.all[i].machine.Want(w.own(i), engine, 1)
+	}
+}
+
+// mine tells whether a use is of the present start of a router, which can end it.
+func (w *sharesWorld) mine(u used, i int) bool { return u.by == i && u.life == w.all[i].life }
+
+// over ends what has lasted for a window. A router that runs knows it, and one that stands still learns it when it goes on.
+func (w *sharesWorld) over() {
+	w.uses = slices.DeleteFunc(w.uses, func(u used) bool {
+		if u.at > w.now-w.Window {
+			return false
+		}
+		if r := w.all[u.by]; w.Held && w.mine(u, u.by) {
+			if r.stopped { // its router finds that out later
+				r.ended++
+				return true
+			}
+			r.purse.Freed(w.own(u.by), 1)
+		}
+		return true
+	})
+}
+
+// end ends a use of a router early.
+func (w *sharesWorld) end(i int, last bool) {
+	at := -1
+	for n, u := range w.uses {
+		if w.mine(u, i) && (at < 0 || last) {
+			at = n
+		}
+	}
+	w.uses = slices.Delete(w.uses, at, at+1)
+	r := w.all[i]
+	r.purse.Freed(w.own(i), 1)
+	r.machine.Wake(w.own(i))
+	w.said(r)
 }
 
 func (w *sharesWorld) Events() (out []Event) {
@@ -143,6 +223,10 @@
 		if w.Leaves > 0 {
 			of(Leave)
 		}
+		if w.Held && slices.ContainsFunc(w.uses, func(u used) bool { return w.mine(u, i) }) {
+			of(First)
+			of(Last)
+		}
 	}
 	return out
 }
@@ -152,7 +236,7 @@
 	switch e.Kind {
 	case Tick:
 		w.now += w.Step
-		w.uses = slices.DeleteFunc(w.uses, func(at float64) bool { return at <= w.now-w.Window })
+		w.over()
 		for k, r := range w.all {
 			if !r.stopped && r.machine.At() <= w.own(k) {
 				r.machine.Wake(w.own(k))
@@ -173,19 +257,19 @@
 		}
 	case Use, Late:
 		r := w.all[i]
-		if !r.machine.Room(w.own(i), engine, 1) {
-			r.machine.Want(w.own(i), engine, 1)
+		if !w.room(i) {
+			w.want(i)
 			r.machine.Wake(w.own(i))
 			w.said(r)
 			return
 		}
-		r.machine.Spend(w.own(i), engine, 1)
+		w.spend(i)
 		by := r.machine.Ends()
 		if e.Kind == Late {
 			w.Lates--
 			r.late = append(r.late, by)
 		} else {
-			w.use()
+			w.use(i)
 		}
 		r.machine.Wake(w.own(i))
 		w.said(r)
@@ -194,11 +278,15 @@
 		by := r.late[0]
 		r.late = r.late[1:]
 		if w.own(i) < by {
-			w.use()
+			w.use(i)
+		} else if w.Held { // it never ran
+			r.purse.Freed(w.own(i), 1)
 		}
 	case Kill:
 		w.Kills--
 		w.start(i)
+	case First, Last:
+		w.end(i, e.Kind == Last)
 	case Leave:
 		w.Leaves--
 		w.all[i].machine.Leave(w.own(i))
@@ -210,6 +298,9 @@
 	case Go:
 		r := w.all[i]
 		r.stopped = false
+		for ; r.ended > 0; r.ended-- {
+			r.purse.Freed(w.own(i), 1)
+		}
 		if r.machine.At() <= w.own(i) {
 			r.machine.Wake(w.own(i))
 			w.said(r)
@@ -217,7 +308,7 @@
 	}
 }
 
-func (w *sharesWorld) use() { w.uses = append(w.uses, w.now) }
+func (w *sharesWorld) use(i int) { w.uses = append(w.uses, used{w.now, i, w.all[i].life}) }
 
 func (w *sharesWorld) said(r *shareRouter) {
 	r.machine.Notes()
@@ -237,7 +328,7 @@
 func (w *sharesWorld) Print(out *strings.Builder) {
 	for i, r := range w.all {
 		r.machine.Print(out)
-		fmt.Fprintf(out, "%v", r.stopped)
+		fmt.Fprint(out, r.stopped, r.ended)
 		for _, by := range r.late {
 			fmt.Fprintf(out, " %.4g", by-w.own(i))
 		}
@@ -245,18 +336,21 @@
 	for _, f := range w.flight {
 		fmt.Fprintf(out, "%d%v", f.to, f.message)
 	}
-	for _, at := range w.uses {
-		fmt.Fprintf(out, " %.4g", at-w.now)
+	for _, u := range w.uses {
+		fmt.Fprintf(out, " %.4g", u.at-w.now)
+		if w.Held {
+			fmt.Fprint(out, " ", u.by, w.mine(u, u.by))
+		}
 	}
 	fmt.Fprint(out, w.Kills, w.Stops, w.Lates, w.Doubles, w.Leaves)
 }
 
-// Broken: what all may still use without asking, and what came within the window, is at most the whole. A credit in the hands of a
+// Broken: what all may still use without asking, and what came within the window or is still held, is at most the whole. A credit in the hands of a
 // router that stands still counts by its own clock, since that is what it will look at.
 func (w *sharesWorld) Broken() string {
 	sum := float64(len(w.uses))
 	for i, r := range w.all {
-		sum += r.machine.InHand(w.own(i), engine)
+		sum += r.machine.InHand(w.own(i), w.key())
 		for _, by := range r.late {
 			if w.own(i) < by {
 				sum++
@@ -295,5 +389,22 @@
 		s.Routers, s.Keepers, s.Kills, s.Stops, s.Lates, s.Doubles, s.Leaves, s.InFlight = 4, 3, 12, 12, 20, 40, 6, 10
 		s.Rates = []float64{1.008, 0.992, 1, 1.004}
 	})
+	held := func(name string, edit func(s *Shares)) {
+		add("held, "+name, func(s *Shares) {
+			s.Held = true
+			edit(s)
+		})
+	}
+	held("two kills", func(s *Shares) { s.Kills = 2 })
+	held("a stop and a late send", func(s *Shares) { s.Stops, s.Lates = 1, 1 })
+	held("doubles", func(s *Shares) { s.Doubles = 2 })
+	held("clocks that differ", func(s *Shares) { s.Stops, s.Rates = 1, []float64{1.008, 0.992} })
+	held("three keepers, one leaves", func(s *Shares) { s.Routers, s.Keepers, s.Leaves = 3, 3, 1 })
+	held("a firm part", func(s *Shares) { s.Whole, s.Kills, s.Settings.Firm = 4, 2, 0.5 })
+	held("all of it", func(s *Shares) {
+		s.Routers, s.Keepers, s.Kills, s.Stops, s.Lates, s.Doubles, s.Leaves, s.InFlight = 4, 3, 12, 12, 20, 40, 6, 10
+		s.Whole, s.Settings.Firm = 6, 0.25
+		s.Rates = []float64{1.008, 0.992, 1, 1.004}
+	})
 	return out
 }
--- a/internal/installation/installation.go
+++ b/internal/installation/installation.go
@@ -89,6 +89,11 @@
 	}
 	out.Levels, out.LevelsOver = f.LevelSections.Prove(c)
 	out.Limits = f.LimitSections.Prove(c)
+	if out.Shares == nil {
+		for _, key := range f.LimitSections.Divided() {
+			c.Found(key, "all routers divide it, for which they have to talk: [fleet] and [shares] have to be there")
+		}
+	}
 	out.Routes = limits.NewTable(out.Limits.Routes)
 	for _, found := range limits.Check(out.Limits, limits.Platform{}) {
 		c.errs = append(c.errs, fmt.Errorf("%s: %s", s.where(found.Line), found.Text))
--- a/internal/installation/routes_test.go
+++ b/internal/installation/routes_test.go
@@ -86,6 +86,11 @@
 		// Budgets of all batches and by engine.
 		{"[further]", "1", "neither all nor engine"}, {"[further]\nall = {share = 0.3}", "2", "rule 7"}, {"[further.engine]\nfree = 30", "1", "rule 7"}, {"[further]\neach = {share = 0.1}", "2", "no such key"},
 		{"[further]\nall = 3", "2", "a table is wanted, not 3"}, {"[further]\nengine = {window = \"1ms\"}", "2", "its window"}, {"[further]\nall = {share = \"x\"}", "2", "a number is wanted, not \"x\""},
+		// What all routers divide.
+		{budget + "free = 2.0\nfleet = true", "4", "[fleet] and [shares] have to be there"}, {"[further.all]\nfree = 2.0\nfleet = true", "3", "[fleet] and [shares] have to be there"},
+		{bound + "routers = 4", "3", "[fleet] and [shares] have to be there"}, {bound + "routers = 0", "3", "rule 1: with none out"}, {bound + "routers = 4\nfleet = 5", "1", "can't be reached with 4"},
+		{"[further.engine]\nfree = 2.0\nfleet = true", "3", "to one engine each router has a budget of its own"}, {budget + "share = 0.1\nfleet = true", "1", "all routers divide the free ones, and 0 is none"},
+		{budget + "fleet = 3", "3", "true or false is wanted, not 3"},
 		// Adaptive limits.
 		{"[adaptive]\nkind = \"vegas\"", "1", "is no kind; there are aimd, fixed"}, {"[adaptive]\nmost = 9.0", "1", "has to be there"}, {"[adaptive]\nkind = \"aimd\"\nleast = 9\nmost = 4", "1", "in that order"},
 		{"[adaptive]\nkind = \"aimd\"\nleast = 0.5", "1", "must be from 1"}, {"[adaptive]\nkind = \"aimd\"\nstretch = 1.0", "1", "stretch must be"}, {"[adaptive]\nkind = \"aimd\"\nmost = nan", "1", "in that order"},
--- a/internal/limits/bounds_test.go
+++ b/internal/limits/bounds_test.go
@@ -13,16 +13,16 @@
 	a, b := &Route{Name: "a", Concurrency: c}, &Route{Name: "b", Concurrency: c}
 	NewTable([]*Route{a, b})
 	for range 4 { // alone, one has it all
-		require.True(t, a.Room())
-		a.Uses(1, 0)
+		require.True(t, a.Room(0))
+		a.Uses(0, 1, 0)
 	}
-	assert.False(t, a.Room())
-	b.Uses(0, 1) // the other comes: what ends goes to it first
-	a.Uses(-1, 0)
-	assert.False(t, a.Room())
-	assert.True(t, b.Room())
-	b.Uses(1, -1)
-	assert.False(t, b.Room(), "four are out")
+	assert.False(t, a.Room(0))
+	b.Uses(0, 0, 1) // the other comes: what ends goes to it first
+	a.Uses(0, -1, 0)
+	assert.False(t, a.Room(0))
+	assert.True(t, b.Room(0))
+	b.Uses(0, 1, -1)
+	assert.False(t, b.Room(0), "four are out")
 }
 
 // However routes come and go, no more is out than the bound, and none is kept out while there is room for it alone.
@@ -37,24 +37,24 @@
 			switch rapid.IntRange(0, 2).Draw(t, "what") {
 			case 0:
 				held[i]++
-				routes[i].Uses(0, 1)
+				routes[i].Uses(0, 0, 1)
 			case 1:
-				if held[i] > 0 && routes[i].Room() {
+				if held[i] > 0 && routes[i].Room(0) {
 					held[i]--
 					out[i]++
-					routes[i].Uses(1, -1)
+					routes[i].Uses(0, 1, -1)
 				}
 			case 2:
 				if out[i] > 0 {
 					out[i]--
-					routes[i].Uses(-1, 0)
+					routes[i].Uses(0, -1, 0)
 				}
 			}
 			sum, waits, room := 0, false, false
 			for k, r := range routes {
 				sum += out[k]
 				waits = waits || held[k] > 0
-				room = room || held[k] > 0 && r.Room()
+				room = room || held[k] > 0 && r.Room(0)
 			}
 			require.LessOrEqual(t, sum, c.Fleet)
 			require.Equal(t, waits && sum < c.Fleet, room, "with room, one of those that wait may go")
@@ -66,17 +66,17 @@
 	old := &Route{Name: "a", Concurrency: &Concurrency{Name: "c", Fleet: 4}, Budget: &Budget{Name: "b", Free: 1, Window: 10}}
 	before := NewTable([]*Route{old})
 	for range 3 {
-		old.Uses(1, 0)
+		old.Uses(0, 1, 0)
 	}
 	old.Again(100)
 	next := &Route{Name: "a", Concurrency: &Concurrency{Name: "c", Fleet: 2}, Budget: &Budget{Name: "b", Free: 1, Window: 10}}
 	after := NewTable([]*Route{next})
 	after.Adopt(before)
-	assert.False(t, next.Room())
+	assert.False(t, next.Room(0))
 	assert.False(t, next.May(100.5), "a reload is no way round a budget")
-	old.Uses(-1, 0)
-	old.Uses(-1, 0)
-	assert.True(t, next.Room())
+	old.Uses(0, -1, 0)
+	old.Uses(0, -1, 0)
+	assert.True(t, next.Room(0))
 	other := NewTable([]*Route{{Name: "a", Budget: &Budget{Name: "b", Free: 1, Window: 20}}})
 	other.Adopt(after)
 	assert.True(t, other.Routes[0].May(100.5), "another window is another budget")
@@ -169,11 +169,11 @@
 		now := float64(i) * 1e-4
 		r := t.Find(&f)
 		r.Took(now)
-		r.Uses(0, 1)
-		if r.Room() && r.RoomAt(1) && r.Goes(0) && r.May(now) && !r.MayCopy(-1) {
-			r.Uses(1, -1)
+		r.Uses(0, 0, 1)
+		if r.Room(0) && r.RoomAt(1) && r.Goes(0) && r.May(now) && !r.MayCopy(-1) {
+			r.Uses(0, 1, -1)
 		}
 		a.Ended(Sample{Now: now, Took: 0.1, Alone: 0.1, Out: 3})
-		r.Uses(-1, 0)
+		r.Uses(0, -1, 0)
 	}
 }
--- a/internal/limits/check.go
+++ b/internal/limits/check.go
@@ -72,16 +72,19 @@
 	found := func(format string, args ...any) {
 		out = append(out, Finding{c.Line, fmt.Sprintf("concurrency %q: ", c.Name) + fmt.Sprintf(format, args...)})
 	}
-	if !within(float64(c.Engine), 0, mostOut) || !within(float64(c.Fleet), 0, mostOut) {
-		found("engine and fleet must be whole numbers from 1 to %g", mostOut)
+	if !within(float64(c.Engine), 0, mostOut) || !within(float64(c.Fleet), 0, mostOut) || !within(float64(c.Routers), 0, mostOut) {
+		found("engine, fleet and routers must be whole numbers from 1 to %g", mostOut)
 	}
-	if c.Engine == 0 && c.Fleet == 0 {
-		found("it bounds nothing: engine or fleet has to be there")
+	if c.Engine == 0 && c.Fleet == 0 && c.Routers == 0 {
+		found("it bounds nothing: engine, fleet or routers has to be there")
+	}
+	if c.Routers > 0 && c.Fleet > c.Routers {
+		found("%d from this router can't be reached with %d from all", c.Fleet, c.Routers)
 	}
 	if c.Fleet > 0 && c.Engine > c.Fleet {
 		found("%d at one engine can't be reached with %d in all", c.Engine, c.Fleet)
 	}
-	if c.Fleet == 0 && c.AtBound != Wait {
+	if c.Fleet == 0 && c.Routers == 0 && c.AtBound != Wait {
 		found("what happens at the bound is told by that of the fleet, which is not there")
 	}
 	return out
@@ -130,7 +133,10 @@
 		if !within(b.Window, leastWindow, mostPause) {
 			found("its window must be from %gs to %gs", leastWindow, float64(mostPause))
 		}
-		if p.Rationed && (b.Free > p.Free || b.Share > p.Share) {
+		if b.Fleet && b.Free < 1 {
+			found("fleet says that all routers divide the free ones, and %g is none", b.Free)
+		}
+		if p.Rationed && (b.Free > p.Free && !b.Fleet || b.Share > p.Share) { // all routers' are bounded by each one's besides
 			found("rule 7: it gives more further dispatches than the platform's budget (%g and a share of %g)", p.Free, p.Share)
 		}
 	}
--- a/internal/limits/concurrency.go
+++ b/internal/limits/concurrency.go
@@ -20,7 +20,9 @@
 	Name    string
 	Engine  int // at one engine; 0: no bound
 	Fleet   int // in all, from this router; 0: no bound
+	Routers int // in all, from all routers together; 0: no bound
 	AtBound Bound
+	Purse   Purse // of the routers' bound; nil: there is nobody to divide it with, and nothing goes out under it
 	Line    int
 
 	use    *usage
@@ -38,16 +40,41 @@
 }
 
 // Uses counts dispatches that go out or end, and batches that begin or cease to be held.
-func (r *Route) Uses(out, held int) {
-	if r != nil && r.Concurrency != nil {
-		r.use.add(out, held)
-		r.Concurrency.use.add(out, held)
+func (r *Route) Uses(now float64, out, held int) {
+	if r == nil || r.Concurrency == nil {
+		return
+	}
+	r.use.add(out, held)
+	r.Concurrency.use.add(out, held)
+	if p := r.Concurrency.Purse; p != nil {
+		if out > 0 {
+			p.Spend(now, float64(out))
+		} else if out < 0 {
+			p.Freed(now, float64(-out))
+		}
 	}
 }
 
-// Room tells whether one more of the route's batches may go out. Where routes share, each has an even part of the bound
-// for itself, and beyond it takes what no other that is below its own part has a batch for.
-func (r *Route) Room() bool {
+// Room tells whether one more of the route's batches may go out, by what this router may have out and by what all may. What is
+// missing of that is wanted by it.
+func (r *Route) Room(now float64) bool {
+	if !r.roomHere() {
+		return false
+	}
+	if r == nil || r.Concurrency == nil || r.Concurrency.Routers == 0 {
+		return true
+	}
+	p := r.Concurrency.Purse
+	if p == nil || p.Room(now, 1) {
+		return p != nil
+	}
+	p.Want(now, 1)
+	return false
+}
+
+// roomHere is the bound of this router alone. Where routes share, each has an even part of the bound for itself, and beyond it
+// takes what no other that is below its own part has a batch for.
+func (r *Route) roomHere() bool {
 	if r == nil || r.Concurrency == nil || r.Concurrency.Fleet == 0 {
 		return true
 	}
@@ -93,12 +120,17 @@
 	return r.Concurrency.use
 }
 
-// Comes says what happens to a batch that comes now. What is held goes first, so it counts as taken room.
-func (r *Route) Comes() Bound {
-	if r == nil || r.Concurrency == nil || r.Concurrency.Fleet == 0 || r.Concurrency.AtBound == Wait {
+// Comes says what happens to a batch that comes now. What is held goes first, so it counts as taken room. By the bound of all
+// routers it is turned away once others have waited in vain for a part: who comes first waits for an exchange.
+func (r *Route) Comes(now float64) Bound {
+	if r == nil || r.Concurrency == nil || r.Concurrency.AtBound == Wait {
 		return Wait
 	}
-	if c := r.Concurrency; c.use.out+c.use.held >= c.Fleet || !r.Room() {
+	c := r.Concurrency
+	if c.Fleet > 0 && (c.use.out+c.use.held >= c.Fleet || !r.roomHere()) {
+		return c.AtBound
+	}
+	if p := c.Purse; c.Routers > 0 && (p == nil || !p.Room(now, 1) && !p.Hopes(now, 1)) {
 		return c.AtBound
 	}
 	return Wait
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -51,17 +51,33 @@
 	Free   float64
 	Share  float64
 	Window float64 // seconds
+	Fleet  bool    // the free ones are for all routers together: they come by the purse alone
+	Purse  Purse   // nil: there is nobody to divide them with, and there are none
 	Line   int
 
 	takes, furthers rate
 }
 
+// Purse is what this router has of something that the fleet divides among its routers. Times are seconds.
+type Purse interface {
+	// Room tells whether so much may be used now.
+	Room(now, amount float64) bool
+	// Spend counts it.
+	Spend(now, amount float64)
+	// Want tells that so much is wanted for which there is no room.
+	Want(now, amount float64)
+	// Hopes tells whether what is wanted may come within a moment.
+	Hopes(now, amount float64) bool
+	// Freed tells that what was held no longer is.
+	Freed(now, amount float64)
+}
+
 // Fresh gives one of the same size of which nothing is spent; nil for none.
 func (b *Budget) Fresh() *Budget {
 	if b == nil {
 		return nil
 	}
-	return &Budget{Name: b.Name, Free: b.Free, Share: b.Share, Window: b.Window, Line: b.Line}
+	return &Budget{Name: b.Name, Free: b.Free, Share: b.Share, Window: b.Window, Fleet: b.Fleet, Line: b.Line}
 }
 
 // Adopt goes on with what an older one has spent, unless its window is another.
@@ -145,9 +161,12 @@
 	}
 }
 
-// May tells whether the budget has room for one more further dispatch.
+// May tells whether the budget has room for one more further dispatch, or may have within a moment.
 func (r *Route) May(now float64) bool { return r == nil || r.Budget.May(now) }
 
+// Ready tells whether it has now.
+func (r *Route) Ready(now float64) bool { return r == nil || r.Budget.Ready(now) }
+
 // Took counts what the budget's share is of. A budget that is not there bounds nothing.
 func (b *Budget) Took(now float64) {
 	if b != nil {
@@ -155,19 +174,45 @@
 	}
 }
 
-// Again counts a further dispatch.
+// Again counts a further dispatch: against what is this router's own, if that has room.
 func (b *Budget) Again(now float64) {
-	if b != nil {
-		b.furthers.add(now, b.Window)
+	if b == nil {
+		return
+	}
+	if b.Purse != nil && !b.own(now) {
+		b.Purse.Spend(now, 1)
+		return
+	}
+	b.furthers.add(now, b.Window)
+}
+
+// own: what this router has by itself bears one more. Where the fleet divides the free ones that is the share alone.
+func (b *Budget) own(now float64) bool {
+	free := b.Free
+	if b.Fleet {
+		free = 0
 	}
+	return b.furthers.sum(now, b.Window)+1 <= free+b.Share*b.takes.sum(now, b.Window)
 }
 
-// May tells whether there is room for one more.
+// May tells whether there is room for one more, or may be within a moment.
 func (b *Budget) May(now float64) bool {
-	if b == nil {
+	return b == nil || b.own(now) || b.Purse != nil && (b.Purse.Room(now, 1) || b.Purse.Hopes(now, 1))
+}
+
+// Ready tells whether there is room now. What is missing is wanted by that: it is asked for a batch that would leave.
+func (b *Budget) Ready(now float64) bool {
+	if b == nil || b.own(now) {
 		return true
 	}
-	return b.furthers.sum(now, b.Window)+1 <= b.Free+b.Share*b.takes.sum(now, b.Window)
+	if b.Purse == nil {
+		return false
+	}
+	if b.Purse.Room(now, 1) {
+		return true
+	}
+	b.Purse.Want(now, 1)
+	return false
 }
 
 // Most gives how many dispatches a batch may have, of those that the platform allows.
@@ -389,6 +434,9 @@
 		}
 		if b := r.Budget; b != nil {
 			budget = fmt.Sprintf("%s: %g and %g%% in %gs", b.Name, b.Free, 100*b.Share, b.Window)
+			if b.Fleet {
+				budget = fmt.Sprintf("%s: %g of all routers and %g%% in %gs", b.Name, b.Free, 100*b.Share, b.Window)
+			}
 		}
 		copies, concurrency, result, engines := "-", "-", "-", "any"
 		if c := r.Copies; c != nil {
@@ -399,6 +447,9 @@
 		}
 		if c := r.Concurrency; c != nil {
 			concurrency = fmt.Sprintf("%s: %d an engine, %d in all, then %s", c.Name, c.Engine, c.Fleet, c.AtBound)
+			if c.Routers > 0 {
+				concurrency += fmt.Sprintf(", %d of all routers", c.Routers)
+			}
 		}
 		if r.MostResult > 0 {
 			result = fmt.Sprintf("%gMB", r.MostResult/(1<<20))
@@ -426,7 +477,7 @@
 		}
 		if c := r.Concurrency; c != nil {
 			if concurrencies[c] == nil {
-				concurrencies[c] = &Concurrency{Name: c.Name, Engine: c.Engine, Fleet: c.Fleet, AtBound: c.AtBound, Line: c.Line}
+				concurrencies[c] = &Concurrency{Name: c.Name, Engine: c.Engine, Fleet: c.Fleet, Routers: c.Routers, AtBound: c.AtBound, Line: c.Line}
 			}
 			one.Concurrency, one.use = concurrencies[c], nil
 		}
--- a/internal/limits/section.go
+++ b/internal/limits/section.go
@@ -44,6 +44,7 @@
 		Name    string `toml:"name"`
 		Engine  *int   `toml:"engine"`
 		Fleet   *int   `toml:"fleet"`
+		Routers *int   `toml:"routers"`
 		AtBound string `toml:"at-bound"`
 	} `toml:"concurrency"`
 	Adaptive *struct {
@@ -59,6 +60,7 @@
 	Free   float64 `toml:"free"`
 	Share  float64 `toml:"share"`
 	Window string  `toml:"window"`
+	Fleet  bool    `toml:"fleet"`
 }
 
 // Prove gives all  Whether they could break a rule is found against the platform's settings, by Check.
@@ -78,6 +80,9 @@
 		if out.All == nil && out.Engine == nil {
 			c.Found("further", "it has neither all nor engine")
 		}
+		if out.Engine != nil && out.Engine.Fleet {
+			c.Found("further.engine.fleet", "to one engine each router has a budget of its own; further.all and [[budget]] may be of all routers")
+		}
 	}
 	concurrencies := f.concurrencies(c, &out)
 	if a := f.Adaptive; a != nil {
@@ -124,12 +129,30 @@
 	return out
 }
 
+// Divided gives the keys of what all routers divide, for which they have to talk.
+func (f *LimitSections) Divided() (keys []string) {
+	for i, b := range f.Budget {
+		if b.Fleet {
+			keys = append(keys, fmt.Sprintf("budget[%d].fleet", i))
+		}
+	}
+	if f.Further != nil && f.Further.All != nil && f.Further.All.Fleet {
+		keys = append(keys, "further.all.fleet")
+	}
+	for i, c := range f.Concurrency {
+		if c.Routers != nil {
+			keys = append(keys, fmt.Sprintf("concurrency[%d].routers", i))
+		}
+	}
+	return keys
+}
+
 // budget reads one; nil for none.
 func budgetOf(c findings.To, at, name string, b *budget) *Budget {
 	if b == nil {
 		return nil
 	}
-	one := &Budget{Name: name, Free: b.Free, Share: b.Share, Window: c.Seconds(at+".window", b.Window, 3600), Line: c.Line(at)}
+	one := &Budget{Name: name, Free: b.Free, Share: b.Share, Window: c.Seconds(at+".window", b.Window, 3600), Fleet: b.Fleet, Line: c.Line(at)}
 	if one.Window == 0 {
 		one.Window = 10
 	}
@@ -145,7 +168,7 @@
 		for key, set := range map[string]struct {
 			into *int
 			v    *int
-		}{"engine": {&made.Engine, one.Engine}, "fleet": {&made.Fleet, one.Fleet}} {
+		}{"engine": {&made.Engine, one.Engine}, "fleet": {&made.Fleet, one.Fleet}, "routers": {&made.Routers, one.Routers}} {
 			if set.v != nil {
 				if *set.into = *set.v; *set.v == 0 {
 					c.Found(at+"."+key, "rule 1: with none out no batch can be answered; leave it out for no bound")
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -247,6 +247,7 @@
 	all.Adopt(r.ofAll)
 	r.ofAll, r.further = all, e.Engine
 	r.brain.Budget(all)
+	r.setPurses()
 	for _, known := range r.engines {
 		next := e.Engine.Fresh()
 		next.Adopt(known.Further)
--- a/internal/router/shares.go
+++ b/internal/router/shares.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 
+	"pitchfield/internal/limits"
 	"pitchfield/internal/shares"
 	"pitchfield/internal/traffic"
 )
@@ -21,9 +22,36 @@
 func (r *Router) setShares(s *shares.Settings, self shares.ID) {
 	r.parts = &parts{machine: shares.New(*s, self, r.brain.Fixed(), r.now)}
 	r.brain.Divide(r.parts.machine)
+	r.setPurses()
 	r.log(Info, "shares", "keepers", s.Keepers, "firm", s.Firm)
 }
 
+// setPurses gives to limits what the fleet divides of them. What is out lasts for the longest time limit at the most.
+func (r *Router) setPurses() {
+	if r.parts == nil || r.routes == nil {
+		return
+	}
+	longest := 0.0
+	for _, g := range r.settings.Settings.Groups {
+		longest = max(longest, g.Limit)
+	}
+	m := r.parts.machine
+	further := func(b *limits.Budget, name string) {
+		if b != nil && b.Fleet {
+			b.Purse = m.Purse(shares.Budget{Key: shares.NamedKey(shares.Further, name), Name: name, Whole: b.Free, Rest: b.Window})
+		}
+	}
+	further(r.ofAll, "further.all")
+	for _, route := range r.routes.Routes {
+		if b := route.Budget; b != nil {
+			further(b, "budget "+b.Name)
+		}
+		if c := route.Concurrency; c != nil && c.Routers > 0 {
+			c.Purse = m.Purse(shares.Budget{Key: shares.NamedKey(shares.Concurrency, c.Name), Name: "concurrency " + c.Name, Whole: float64(c.Routers), Rest: longest})
+		}
+	}
+}
+
 // partsTurn asks for what the module has wanted, and lets it look again where something came. What is for oneself comes at
 // once, so there may be more than one round.
 func (r *Router) partsTurn() {
--- a/internal/serve/shares.go
+++ b/internal/serve/shares.go
@@ -53,7 +53,13 @@
 	Holders map[string]float64 `json:"holders"`
 }
 
-func nameOf(k shares.Key) string {
+func nameOf(k shares.Key, name string) string {
+	switch {
+	case name != "":
+		return fmt.Sprintf("%s, %s (%s)", k.Kind, name, shares.Kinds[k.Kind].Unit)
+	case k.Kind != shares.ColdWork: // of another's settings
+		return fmt.Sprintf("%s, %016x (%s)", k.Kind, k.At, shares.Kinds[k.Kind].Unit)
+	}
 	return fmt.Sprintf("%s, engine %d started %s (%s)", k.Kind, k.Of, at(math.Float64frombits(k.At)).Format("15:04:05.000"), shares.Kinds[k.Kind].Unit)
 }
 
@@ -64,14 +70,14 @@
 		out.Waited = s.Stats.Waited / float64(s.Stats.Given)
 	}
 	for _, b := range s.Budgets {
-		one := ShareOf{What: nameOf(b.Key), Whole: b.Whole, Left: b.Left, Used: b.Used, Asked: b.Asked, Ago: -1}
+		one := ShareOf{What: nameOf(b.Key, b.Name), Whole: b.Whole, Left: b.Left, Used: b.Used, Asked: b.Asked, Ago: -1}
 		if b.Since > 0 {
 			one.Ago = m.Now - b.Since
 		}
 		out.Budgets = append(out.Budgets, one)
 	}
 	for _, b := range s.Books {
-		out.Books = append(out.Books, ShareBook{nameOf(b.Key), b.Whole, b.Free, b.Lent, b.Resting, b.Waiting, b.Open, b.Holders})
+		out.Books = append(out.Books, ShareBook{nameOf(b.Key, b.Name), b.Whole, b.Free, b.Lent, b.Resting, b.Waiting, b.Open, b.Holders})
 	}
 	return out
 }
--- a/internal/shares/bursar.go
+++ b/internal/shares/bursar.go
@@ -155,14 +155,19 @@
 	for _, i := range items {
 		of := holder{from, i.Number}
 		if i.Done { // it tells no whole, and a book that is not there has nothing of it
-			answers = append(answers, Item{Number: i.Number, Key: i.Key, Done: true})
+			answers = append(answers, Item{Number: i.Number, Key: i.Key, Amount: i.Amount, Done: true})
 			k := b.books[i.Key]
 			if k == nil {
 				continue
 			}
-			if c := k.given[of]; c != nil && !c.done {
+			held := Kinds[i.Key.Kind].Held
+			if c := k.given[of]; c != nil && (held || !c.done) {
+				until := min(c.until, now+b.longer(k.rest+b.Write))
+				if held { // it is out until told otherwise, or for as long as it may be
+					until = c.until
+				}
 				if used := min(c.amount, toUnits(i.Amount)); used > 0 {
-					k.give(of, &credit{amount: used, until: min(c.until, now+b.longer(k.rest+b.Write)), done: true})
+					k.give(of, &credit{amount: used, until: until, done: true})
 				} else {
 					k.take(of)
 				}
--- a/internal/shares/explore.go
+++ b/internal/shares/explore.go
@@ -40,9 +40,12 @@
 	}
 	for _, key := range m.keys() {
 		b := m.budgets[key]
-		p("%v %.4g %.4g %.4g %.4g %.4g|", key, b.wantSum, b.wantMost, t(b.wantAt), t(b.neverAt), b.never)
+		p("%v %.4g %.4g %.4g %.4g %.4g %.4g|", key, b.wantSum, b.wantMost, t(b.wantAt), t(b.neverAt), b.never, t(b.unmetAt))
 		for _, g := range b.credits {
-			p("%d %.4g %.4g %.4g|", g.number, g.left, g.used, t(g.until))
+			p("%d %.4g %.4g %.4g %v|", g.number, g.left, g.used, t(g.until), g.closed)
+		}
+		for _, u := range b.firm {
+			p("%.4g %.4g|", t(u.at), u.work)
 		}
 		if a := b.asking; a != nil {
 			p("%v %.4g|", a.item, t(a.next))
@@ -56,9 +59,9 @@
 	}
 }
 
-// InHand is what this router may still use of a budget without asking.
-func (m *Machine) InHand(now float64, of Start) float64 {
-	if b := m.budgets[ColdKey(of)]; b != nil {
+// InHand is what this router may still use of a budget without asking, but for its firm part.
+func (m *Machine) InHand(now float64, of Key) float64 {
+	if b := m.budgets[of]; b != nil {
 		return b.left(max(m.now, now))
 	}
 	return 0
--- a/internal/shares/machine.go
+++ b/internal/shares/machine.go
@@ -11,10 +11,12 @@
 type Machine struct {
 	Settings
 	self   ID
-	firm   *Plain
+	firm   *Plain  // of cold engines
 	told   float64 // routers, by settings
-	whole  float64 // for each core, over all routers
+	lost   bool    // there are more: firm parts are given up
+	whole  float64 // of a cold engine for each core, over all routers
 	window float64
+	began  float64
 	now    float64
 
 	keeper *keeper // nil: this router is none
@@ -42,9 +44,9 @@
 
 // budget is what this router has of one.
 type budget struct {
-	start    Start
-	whole    float64
+	Budget
 	credits  []*given
+	firm     []use // of the firm part; of what is held, one for all that is out
 	asking   *asking
 	wantSum  float64 // since the last Wake
 	wantMost float64
@@ -52,14 +54,16 @@
 	neverAt  float64 // so much is more than the whole bears
 	never    float64
 	freeAt   float64 // when something was last given there
+	unmetAt  float64 // since when there is none of what is wanted; 0: there is
 }
 
 // given is a credit in hand.
 type given struct {
 	number uint64
 	left   float64
-	used   float64
+	used   float64 // of what is held: and is out
 	until  float64
+	closed bool // nothing more is used of it, and something is still out; Freed ends that
 }
 
 // asking is for one that has not come.
@@ -98,13 +102,14 @@
 // New makes one. fixed is the division without talk, of which the firm share stays.
 func New(s Settings, self ID, fixed Fixed, now float64) *Machine {
 	m := &Machine{Settings: s, self: self, whole: fixed.Whole, window: fixed.Window + overlap,
-		now: now, ends: math.Inf(1), bursar: bursar{Settings: &s, books: map[Key]*book{}}, budgets: map[Key]*budget{}}
+		began: now, now: now, ends: math.Inf(1), bursar: bursar{Settings: &s, books: map[Key]*book{}}, budgets: map[Key]*budget{}}
 	m.bursar.Settings = &m.Settings
 	fixed.Whole *= s.Firm
+	m.told = fixed.Routers
 	if s.Firm <= 0 {
 		fixed.Routers = 0
 	}
-	m.firm, m.told = NewPlain(fixed), fixed.Routers
+	m.firm = NewPlain(fixed)
 	if s.rank(s.Listen) >= 0 {
 		// What an earlier start has promised may still hold.
 		m.keeper = &keeper{Settings: &m.Settings, quiet: now + s.longer(s.longer(s.Term))}
@@ -157,20 +162,25 @@
 // the firm share, so this router gives its own up until it starts with another number. It covers a wrong number in one
 // router's settings and a fleet that grew; it hurts by the firm part alone.
 func (m *Machine) Fleet(routers int) {
-	if float64(routers) > m.told && m.Firm > 0 && m.firm.part > 0 {
-		m.firm.part = 0
+	if float64(routers) > m.told && m.Firm > 0 && !m.lost {
+		m.lost, m.firm.part = true, 0
 		m.note(true, "more routers than settings tell: the firm part is given up", "told", m.told, "there", routers)
 	}
 }
 
+// cold is the budget of a start of an engine.
+func (m *Machine) cold(of Start) Budget {
+	return Budget{Key: ColdKey(of), Whole: m.whole * of.Cores, Rest: m.window}
+}
+
 // budget gives what this router knows of one.
-func (m *Machine) budget(of Start) *budget {
-	key := ColdKey(of)
-	b := m.budgets[key]
+func (m *Machine) budget(of *Budget) *budget {
+	b := m.budgets[of.Key]
 	if b == nil {
-		b = &budget{start: of, whole: m.whole * of.Cores, never: math.Inf(1)}
-		m.budgets[key] = b
+		b = &budget{Budget: *of, never: math.Inf(1)}
+		m.budgets[of.Key] = b
 	}
+	b.Whole, b.Rest = of.Whole, max(b.Rest, of.Rest) // an operator may have changed them
 	return b
 }
 
@@ -194,25 +204,60 @@
 	return sum
 }
 
-// Spend counts what is sent: of the firm part where it bears it all, else of credits, the one that ends first before the others.
+// Spend counts what is sent: of the firm part where it bears it all, else of credits.
 func (m *Machine) Spend(now float64, to Start, work float64) {
 	m.clock(now)
 	if m.Firm > 0 && m.firm.Room(m.now, to, work) {
 		m.firm.Spend(m.now, to, work)
-		m.stats.Firm += work
-		m.ends = m.now + overlap
+		m.spentFirm(work)
 		return
 	}
-	b := m.budget(to)
-	m.stats.Used += work
-	b.wantAt, m.ends = m.now, math.Inf(1)
+	of := m.cold(to)
+	m.spend(m.budget(&of), work)
+}
+
+func (m *Machine) spentFirm(amount float64) {
+	m.stats.Firm += amount
+	m.endBy(m.now + overlap)
+}
+
+// endBy brings the time by which what was spent has to be on its way. A dispatch may spend of several budgets.
+func (m *Machine) endBy(at float64) {
+	if m.ends < m.now { // nobody asked after what was spent before
+		m.ends = math.Inf(1)
+	}
+	m.ends = min(m.ends, at)
+}
+
+// spend takes of credits, of the one that ends first before the others.
+func (m *Machine) spend(b *budget, amount float64) {
+	m.stats.Used += amount
+	b.wantAt = m.now
 	for _, g := range b.credits {
-		if m.now < g.until && work > 0 {
-			part := min(g.left, work)
-			g.left, g.used, work = g.left-part, g.used+part, work-part
-			m.ends = min(m.ends, g.until, m.now+m.Write)
+		if m.now < g.until && amount > 0 {
+			part := min(g.left, amount)
+			if part <= 0 {
+				continue
+			}
+			g.left, g.used, amount = g.left-part, g.used+part, amount-part
+			m.endBy(min(g.until, m.now+m.Write))
+		}
+	}
+}
+
+// firmRoom tells whether the firm part of a budget that has no engine bears an amount: every router has the same one. What an
+// earlier start may have used or may still hold lasts for a rest.
+func (m *Machine) firmRoom(b *budget, amount float64) bool {
+	if m.Firm <= 0 || m.lost || !(m.told >= 1) || m.now < m.began+b.Rest+overlap {
+		return false
+	}
+	room := b.Whole * m.Firm / m.told
+	for _, u := range b.firm {
+		if b.held() || u.at > m.now-b.Rest-overlap {
+			room -= u.work
 		}
 	}
+	return amount <= room
 }
 
 // Ends is when what was spent last has to be on its way, told once: a credit holds no longer. Infinite: nothing was spent that
@@ -227,14 +272,21 @@
 // 16 routers, engines replaced). It hurts where nobody gives any more, by that wait once.
 func (m *Machine) Want(now float64, to Start, work float64) float64 {
 	m.clock(now)
-	if !(work > 0) || work > m.whole*to.Cores*(1-m.Firm) {
+	of := m.cold(to)
+	if !(work > 0) || work > of.Whole*(1-m.Firm) {
 		return 0
 	}
-	b := m.budget(to)
-	if work >= b.never && m.now < b.neverAt {
+	return m.want(m.budget(&of), work)
+}
+
+func (m *Machine) want(b *budget, amount float64) float64 {
+	if amount >= b.never && m.now < b.neverAt {
 		return 0
 	}
-	b.wantSum, b.wantMost, b.wantAt = b.wantSum+work, max(b.wantMost, work), m.now
+	if b.unmetAt == 0 || m.now > b.wantAt+2*m.Again { // the first, or others have long ceased to want it
+		b.unmetAt = m.now
+	}
+	b.wantSum, b.wantMost, b.wantAt = b.wantSum+amount, max(b.wantMost, amount), m.now
 	m.wanted = true
 	return m.Wait
 }
@@ -251,7 +303,7 @@
 	if m.now >= m.forget {
 		m.forget = m.now + tidyEvery
 		for key, b := range m.budgets {
-			if b.asking == nil && len(b.credits) == 0 && m.now > b.wantAt+keepBudget {
+			if b.asking == nil && len(b.credits) == 0 && len(b.firm) == 0 && m.now > b.wantAt+keepBudget {
 				delete(m.budgets, key)
 			}
 		}
@@ -386,7 +438,7 @@
 	}
 	for _, i := range message.Items {
 		if i.Done {
-			m.tell = slices.DeleteFunc(m.tell, func(t told) bool { return t.item.Number == i.Number })
+			m.tell = slices.DeleteFunc(m.tell, func(t told) bool { return t.item.Number == i.Number && t.item.Amount >= i.Amount })
 			continue
 		}
 		m.credit(i)
@@ -424,28 +476,40 @@
 	m.stats.Given++
 	m.came = true
 	m.stats.Waited += m.now - a.wanted
-	b.freeAt, b.never = m.now, math.Inf(1)
+	b.freeAt, b.never, b.unmetAt = m.now, math.Inf(1), 0
 	b.credits = append(b.credits, g)
 	slices.SortStableFunc(b.credits, func(x, y *given) int { return cmp.Compare(x.until, y.until) })
 }
 
-// done tells the bursar that nothing more is used of a credit.
+// done tells the bursar that nothing more is used of a credit. Of what is held it is told again, as less is out.
 func (m *Machine) done(key Key, number uint64, used, until float64) {
+	m.tell = slices.DeleteFunc(m.tell, func(t told) bool { return t.item.Number == number })
 	if len(m.tell) == mostTells { // it lapses there by itself
 		m.tell = slices.Delete(m.tell, 0, 1)
 	}
-	m.tell = append(m.tell, told{Item{Number: number, Key: key, Amount: used, Done: true, Rest: m.window}, 0, until + m.longer(m.window)})
+	rest := m.window
+	if b := m.budgets[key]; b != nil {
+		rest = b.Rest
+	}
+	m.tell = append(m.tell, told{Item{Number: number, Key: key, Amount: used, Done: true, Rest: rest}, 0, until + m.longer(rest)})
 }
 
 // returns ends credits that have ended, are used up, or that nobody wants any more.
 func (m *Machine) returns() {
 	for _, key := range m.keys() {
 		b := m.budgets[key]
+		if !b.held() {
+			b.firm = slices.DeleteFunc(b.firm, func(u use) bool { return u.at <= m.now-b.Rest-overlap })
+		}
 		b.credits = slices.DeleteFunc(b.credits, func(g *given) bool {
 			switch {
+			case g.closed:
+				// Kept until all of it is freed, also when it counts nowhere any more: what is freed that late would else be taken
+				// from a later credit, of which something is still out (found by internal/explore: one that stood still).
+				return g.used <= 1e-6
 			case m.now >= g.until:
 				m.stats.Lapsed++
-			case g.left <= 1e-6:
+			case g.left <= 1e-6 && !b.held(): // what is held may come back
 			case m.now > b.wantAt+m.Idle, b.wantMost > 0 && b.asking == nil:
 				// Nobody wants it, or what is wanted does not fit what is left: kept, its used part too would count as lent
 				// until its lease has ended, which was a third of the whole where far more is wanted than there is.
@@ -454,7 +518,8 @@
 				return false
 			}
 			m.done(key, g.number, g.used, g.until)
-			return true
+			g.left, g.closed = 0, true
+			return !b.held() || g.used <= 1e-6
 		})
 	}
 }
@@ -479,10 +544,14 @@
 		if most == 0 || b.asking != nil {
 			continue
 		}
-		amount := max(most, min(sum, b.whole*m.Largest))
+		amount := min(sum, b.Whole*m.Largest)
+		if Kinds[key.Kind].Counted {
+			amount = math.Floor(amount)
+		}
+		amount = max(most, amount)
 		m.numbers++
 		m.stats.Asked++
-		b.asking = &asking{item: Item{Number: m.numbers, Key: key, Amount: amount, Whole: b.whole, Rest: m.window}, sent: map[uint32]float64{},
+		b.asking = &asking{item: Item{Number: m.numbers, Key: key, Amount: amount, Whole: b.Whole, Rest: b.Rest}, sent: map[uint32]float64{},
 			wanted: m.now, next: m.now}
 	}
 }
@@ -559,6 +628,9 @@
 	}
 	for _, b := range m.budgets {
 		for _, g := range b.credits {
+			if g.closed { // Freed ends it
+				continue
+			}
 			at = min(at, g.until, max(b.wantAt+m.Idle, m.now+spacing))
 		}
 		if b.asking != nil {
@@ -577,7 +649,9 @@
 	for _, key := range m.keys() {
 		b := m.budgets[key]
 		for _, g := range b.credits {
-			m.done(key, g.number, g.used, g.until)
+			if !g.closed {
+				m.done(key, g.number, g.used, g.until)
+			}
 		}
 		if b.asking != nil {
 			m.done(key, b.asking.item.Number, 0, m.now)
--- a/internal/shares/shares.go
+++ b/internal/shares/shares.go
@@ -9,6 +9,7 @@
 
 import (
 	"fmt"
+	"hash/fnv"
 	"math"
 	"slices"
 )
@@ -106,12 +107,20 @@
 // The kinds.
 const (
 	ColdWork Kind = iota + 1
+	Further
+	Concurrency
 	kinds
 )
 
-// Kinds has each kind once: what its amounts are, and over which time they are summed.
-var Kinds = map[Kind]struct{ Name, Unit, Window string }{
-	ColdWork: {"cold work", "core-seconds", "fall time"},
+// Kinds has each kind once: what its amounts are, and over which time they are summed. What is held is used until it is freed, and
+// counts so long; of whoever can't say so any more it counts for the longest that it may last.
+var Kinds = map[Kind]struct {
+	Name, Unit, Window string
+	Held, Counted      bool
+}{
+	ColdWork:    {"cold work", "core-seconds", "fall time", false, false},
+	Further:     {"free further dispatches", "dispatches", "the budget's window", false, true},
+	Concurrency: {"dispatches out", "dispatches", "while they are out", true, true},
 }
 
 func (k Kind) String() string {
@@ -124,13 +133,30 @@
 // Key names a budget alike at every router.
 type Key struct {
 	Kind Kind
-	Of   uint32 // an engine
-	At   uint64 // the bits of the time of its start
+	Of   uint32 // an engine; 0: none
+	At   uint64 // the bits of the time of its start; where operators name the budget, the hash of that name
 }
 
+// Budget is something of which all routers together may use only so much.
+type Budget struct {
+	Key   Key
+	Name  string  // for who looks on; empty: the key tells it
+	Whole float64 // over all routers
+	Rest  float64 // seconds for which a use counts; of what is held, how long it lasts at the most
+}
+
+func (b *Budget) held() bool { return Kinds[b.Key.Kind].Held }
+
 // ColdKey names the budget of a start of an engine.
 func ColdKey(of Start) Key { return Key{ColdWork, of.Engine, math.Float64bits(of.At)} }
 
+// NamedKey names a budget that operators have named.
+func NamedKey(kind Kind, name string) Key {
+	h := fnv.New64a()
+	h.Write([]byte(name)) //nolint:errcheck // it never fails
+	return Key{Kind: kind, At: h.Sum64()}
+}
+
 // ID is one start of a router: a name used twice is two of them.
 type ID struct {
 	Name  string
