--- a/internal/torture/budgets.go
+++ b/internal/torture/budgets.go
@@ -46,6 +46,20 @@
 			return out
 		},
 		Whole: (*runsCheck).bears},
+	{Name: "free further dispatches of look-ups", Unit: "dispatches", Rule: 7, Window: freeWindow,
+		Of: func(c *runsCheck, r standin.Run) (string, float64) {
+			if c.Limited && r.Group == "lookup" && c.further(r) && !c.late(r) {
+				return "the fleet", 1
+			}
+			return "", 0
+		},
+		All: func(c *runsCheck) []string {
+			if c.Limited {
+				return []string{"the fleet"}
+			}
+			return nil
+		},
+		Whole: func(*runsCheck, string, time.Duration) float64 { return freeOfAll }},
 	{Name: "further dispatches", Unit: "dispatches", Rule: 7, Window: lookBack,
 		Of: func(c *runsCheck, r standin.Run) (string, float64) {
 			if len(c.Routers) > 1 && c.further(r) && !c.late(r) {
@@ -145,6 +159,51 @@
 	}
 }
 
+// atOnce holds what reports run at once, over all engines, to what all routers together may have out. Their end is known where an
+// engine ended them itself: what was given up was over for its router before, and is left out, as is what came late.
+func (c *runsCheck) atOnce() {
+	if !c.Limited {
+		return
+	}
+	type moment struct {
+		at    time.Time
+		begin bool
+		run   standin.Run
+	}
+	var moments []moment
+	for _, r := range c.runs {
+		if r.Group != "report" || r.Act.Deed == standin.TurnAway || r.GivenUp || r.Ended.IsZero() || c.unfair(r, c.at(r)-wayWithin, r.Ended.Sub(c.Began)) {
+			continue
+		}
+		moments = append(moments, moment{r.Began, true, r}, moment{r.Ended, false, r})
+	}
+	slices.SortStableFunc(moments, func(a, b moment) int { return a.at.Compare(b.at) })
+	out, told := map[string]part{}, false
+	for _, m := range moments {
+		of := m.run.Engine + " " + m.run.ID
+		if !m.begin {
+			delete(out, of)
+			continue
+		}
+		out[of] = part{c.at(m.run), 1, m.run}
+		if len(out) > c.most {
+			c.most = len(out)
+		}
+		if len(out) > reportsOut && !told {
+			told = true
+			parts := slices.SortedFunc(maps.Values(out), func(a, b part) int { return cmp.Compare(a.at, b.at) })
+			c.found(7, m.run, "%d reports run at once, and %d may be out of all routers; of %s", len(out), reportsOut, c.whose(parts))
+		}
+	}
+}
+
+// AtOnce is how many reports ran at once, at the most.
+func (r *Result) AtOnce() int {
+	c := newRunsCheck(r)
+	c.atOnce()
+	return c.most
+}
+
 // part is what one run took of a budget.
 type part struct {
 	at     time.Duration
--- a/internal/torture/checker.go
+++ b/internal/torture/checker.go
@@ -116,6 +116,7 @@
 	c.keys()
 	c.placed()
 	c.budgets()
+	c.atOnce()
 	return append(out, c.out...)
 }
 
--- a/internal/torture/cmd/main.go
+++ b/internal/torture/cmd/main.go
@@ -29,6 +29,7 @@
 	routers      int
 	older        string
 	talk, shares bool
+	limits       bool
 	firm         float64
 }
 
@@ -46,6 +47,7 @@
 	flag.StringVar(&o.older, "older", "", "a commit whose program some of several routers run for a while")
 	flag.BoolVar(&o.talk, "talk", false, "several routers talk to each other")
 	flag.BoolVar(&o.shares, "shares", false, "and divide what a cold engine bears by that")
+	flag.BoolVar(&o.limits, "limits", false, "and free further dispatches and what may be out, too")
 	flag.Float64Var(&o.firm, "firm", 0.1, "share of that which stays with each")
 	measure := flag.Bool("measure", false, "no script: service and use of budgets by 2 to 12 routers, with none and half of them killed")
 	defects := flag.Bool("defects", false, "look for the defects of defects.toml")
@@ -117,7 +119,7 @@
 		for _, killed := range []bool{false, true} {
 			var sum torture.Figures
 			for i := range o.seeds {
-				r, err := torture.Run(torture.Options{Program: program, Seed: o.first + i, Long: o.long, Clients: o.clients, Folder: o.folder, Routers: routers, Talk: o.talk || o.shares, Shares: o.shares, Firm: o.firm,
+				r, err := torture.Run(torture.Options{Program: program, Seed: o.first + i, Long: o.long, Clients: o.clients, Folder: o.folder, Routers: routers, Talk: o.talk, Shares: o.shares, Limits: o.limits, Firm: o.firm,
 					Steps: torture.Replacements(o.long, routers, killed)})
 				if err != nil {
 					return err
@@ -152,7 +154,7 @@
 	var failure error
 	each(o.beside, int(o.seeds), func(i int) {
 		r, err := torture.Run(torture.Options{Program: program, Older: older, Seed: o.first + uint64(i), Long: o.long, Clients: o.clients, Folder: o.folder,
-			Routers: o.routers, Talk: o.talk || o.shares, Shares: o.shares, Firm: o.firm})
+			Routers: o.routers, Talk: o.talk, Shares: o.shares, Limits: o.limits, Firm: o.firm})
 		mutex.Lock()
 		defer mutex.Unlock()
 		if err != nil {
@@ -160,7 +162,11 @@
 			return
 		}
 		batches += len(r.Batches)
-		fmt.Printf("seed %d: %s, %d findings; cold budget used %.2f at the most\n", r.Seed, r.Counts(), len(r.Findings), r.Uses()[0].Most)
+		fmt.Printf("seed %d: %s, %d findings; cold budget used %.2f at the most", r.Seed, r.Counts(), len(r.Findings), r.Uses()[0].Most)
+		if o.limits {
+			fmt.Printf(", free further dispatches %.2f, reports at once %d", r.Uses()[1].Most, r.AtOnce())
+		}
+		fmt.Println()
 		if len(r.Findings) > 0 {
 			broken++
 			tell(r)
@@ -219,7 +225,7 @@
 		}
 		for seed := o.first; seed < o.first+o.seeds && out.err == nil && out.finding == nil; seed++ {
 			r, err := torture.Run(torture.Options{Program: program, Seed: seed, Long: o.long, Clients: o.clients, Folder: folder,
-				Routers: routers, Talk: o.talk || o.shares || d.Talk, Shares: o.shares || d.Shares, Firm: o.firm})
+				Routers: routers, Talk: o.talk || d.Talk, Shares: o.shares || d.Shares, Limits: o.limits || d.Limits, Firm: o.firm})
 			if out.err = err; err != nil {
 				break
 			}
--- a/internal/torture/defects.go
+++ b/internal/torture/defects.go
@@ -20,7 +20,8 @@
 	Name          string
 	Rule          int    // that it breaks
 	Fleet         bool   // it shows only where there are several routers,
-	Talk, Shares  bool   // that talk, and divide by that
+	Talk, Shares  bool   // that talk, and divide by that,
+	Limits        bool   // not work for cold engines alone
 	File          string // from the root of the repository
 	Before, After string
 }
--- a/internal/torture/play.go
+++ b/internal/torture/play.go
@@ -31,6 +31,7 @@
 	Talk        bool          // routers talk to each other, through links of their own,
 	Shares      bool          // and divide what a cold engine bears by that
 	Firm        float64       // share of it that stays with each
+	Limits      bool          // they divide free further dispatches of look-ups and how many reports may be out, too
 	Steps       []Step        // in place of those drawn by the seed
 }
 
@@ -49,6 +50,7 @@
 	Logs     []string         // files of the routers' lines
 	Began    time.Time
 	Long     time.Duration
+	Limited  bool // by what is divided beside the work of cold engines
 }
 
 // Counts sums up the answers by code, and what had none.
@@ -124,6 +126,8 @@
 func Run(o Options) (*Result, error) {
 	o.Clients, o.MemoryMB, o.Descriptors = cmp.Or(o.Clients, 24), cmp.Or(o.MemoryMB, 32), cmp.Or(o.Descriptors, 256)
 	o.Routers, o.Older = max(o.Routers, 1), cmp.Or(o.Older, o.Program)
+	o.Shares = o.Shares || o.Limits
+	o.Talk = o.Talk || o.Shares
 	p := &play{Options: o, began: time.Now(), ledger: &standin.Ledger{Memory: window, GivesUp: true, TellsMemory: true}}
 	p.ledger.Script = p.act
 	n := plays.Add(1)
@@ -229,7 +233,7 @@
 		e.Stop()
 	}
 	r := &Result{Seed: p.Seed, Steps: steps, Batches: p.batches, Runs: p.ledger.Runs(), Probes: p.ledger.Probes(), Engines: p.fleet(),
-		Weather: p.weather, History: map[int][]string{}, Began: p.began, Long: p.Long}
+		Weather: p.weather, History: map[int][]string{}, Began: p.began, Long: p.Long, Limited: p.Limits}
 	for _, one := range p.everyone() {
 		one.names.Close()
 		one.log.Close()
--- a/internal/torture/runs.go
+++ b/internal/torture/runs.go
@@ -19,6 +19,7 @@
 	firsts map[string]time.Time // when a batch was first sent, by id
 	taken  [][]time.Duration    // batches of each router
 	starts map[string]int       // routers, by the name of a start
+	most   int                  // reports that ran at once
 }
 
 func newRunsCheck(seen *Result) *runsCheck {
--- a/internal/torture/talk.go
+++ b/internal/torture/talk.go
@@ -88,7 +88,43 @@
 	for _, o := range r.routers[:n] {
 		keepers = append(keepers, fmt.Sprintf("%q", o.talkAddress()))
 	}
-	return fmt.Sprintf("\n[shares]\nkeepers = [%s]\nfirm = %g\nlease = \"500ms\"\nterm = \"1s\"\n", strings.Join(keepers, ", "), r.Firm)
+	return fmt.Sprintf("\n[shares]\nkeepers = [%s]\nfirm = %g\nlease = \"500ms\"\nterm = \"1s\"\n", strings.Join(keepers, ", "), r.Firm) + r.alsoDivided()
+}
+
+// What all routers divide beside the work of cold engines: tight enough to be wanted all the time.
+const (
+	freeOfAll  = 12
+	freeWindow = 4 * time.Second
+	reportsOut = 6
+)
+
+// alsoDivided are the settings of that. Reports are pushed back at their bound: a play is too short for them to wait.
+func (r *router) alsoDivided() string {
+	if !r.Limits {
+		return ""
+	}
+	return fmt.Sprintf(`
+[[budget]]
+name = "free"
+free = %d.0
+window = %q
+fleet = true
+
+[[concurrency]]
+name = "reports"
+routers = %d
+at-bound = "push back"
+
+[[route]]
+name = "look-ups"
+group = "lookup"
+budget = "free"
+
+[[route]]
+name = "reports"
+group = "report"
+concurrency = "reports"
+`, freeOfAll, freeWindow.String(), reportsOut)
 }
 
 // rubbish sends what is no packet of the fleet, and what is one of another: bytes by chance, too much, cut, of a router that
