Shares: most keepers know of a credit before its holder does, so a bursar's books outlive him

Need: a new bursar's books stayed closed for a lease and a rest after his election.

Change: a bursar tells all keepers what he is about to give, and gives it once most of them have it; whoever is elected next asks keepers for what counts and goes on with it once most have told all. What a keeper may have forgotten, by a start less than a lease and a rest ago, keeps the books closed as before. Holders' credits keep their names, so what is freed later is freed at the next bursar too. The hash of the keepers' list changes with it: no bursar who told nobody is followed by one who believes that he had.

--- a/internal/explore/shares.go
+++ b/internal/explore/shares.go
@@ -231,6 +231,22 @@
 	return out
 }
 
+// Weight has messages come sooner than time passes, and mishaps last.
+func (w *sharesWorld) Weight(e Event) int {
+	switch e.Kind {
+	case Deliver:
+		if e.Of == 0 {
+			return 24
+		}
+		return 6
+	case Tick, Use:
+		return 6
+	case Go:
+		return 2
+	}
+	return 1
+}
+
 func (w *sharesWorld) Do(e Event) {
 	i := int(e.Of)
 	switch e.Kind {
@@ -375,7 +391,9 @@
 		own := shares.Defaults()
 		own.Firm, own.Lease, own.Term, own.Again, own.Idle, own.Largest = 0, 0.5, 1, 1, 0.5, 1
 		s := Shares{Routers: 2, Keepers: 1, Step: 0.25, Whole: 2, Window: 0.75, Settings: own, InFlight: 4, Settle: 5}
-		edit(&s)
+		if edit(&s); s.Keepers > 1 { // what is given is told to them first
+			s.InFlight = max(s.InFlight, 8)
+		}
 		out = append(out, Named{name, s})
 	}
 	add("one keeper, two kills", func(s *Shares) { s.Kills = 2 })
@@ -385,6 +403,7 @@
 	add("three keepers, two kills", func(s *Shares) { s.Routers, s.Keepers, s.Kills = 3, 3, 2 })
 	add("three keepers, a stop", func(s *Shares) { s.Routers, s.Keepers, s.Stops = 3, 3, 1 })
 	add("three keepers, one leaves", func(s *Shares) { s.Routers, s.Keepers, s.Leaves = 3, 3, 1 })
+	add("three keepers, many kills", func(s *Shares) { s.Routers, s.Keepers, s.Kills, s.Stops, s.Window = 3, 3, 12, 4, 2 })
 	add("three keepers, all of it", func(s *Shares) {
 		s.Routers, s.Keepers, s.Kills, s.Stops, s.Lates, s.Doubles, s.Leaves, s.InFlight = 4, 3, 12, 12, 20, 40, 6, 10
 		s.Rates = []float64{1.008, 0.992, 1, 1.004}
@@ -400,6 +419,7 @@
 	held("doubles", func(s *Shares) { s.Doubles = 2 })
 	held("clocks that differ", func(s *Shares) { s.Stops, s.Rates = 1, []float64{1.008, 0.992} })
 	held("three keepers, one leaves", func(s *Shares) { s.Routers, s.Keepers, s.Leaves = 3, 3, 1 })
+	held("three keepers, many kills", func(s *Shares) { s.Routers, s.Keepers, s.Kills, s.Stops, s.Window = 3, 3, 12, 4, 2 })
 	held("a firm part", func(s *Shares) { s.Whole, s.Kills, s.Settings.Firm = 4, 2, 0.5 })
 	held("all of it", func(s *Shares) {
 		s.Routers, s.Keepers, s.Kills, s.Stops, s.Lates, s.Doubles, s.Leaves, s.InFlight = 4, 3, 12, 12, 20, 40, 6, 10
--- a/internal/shares/bursar.go
+++ b/internal/shares/bursar.go
@@ -34,11 +34,13 @@
 }
 
 type credit struct {
-	amount units
-	until  float64
-	lease  float64
-	try    uint32
-	done   bool
+	amount   units
+	until    float64
+	lease    float64
+	try      uint32
+	done     bool
+	parked   bool // most keepers don't know of it yet
+	recalled bool // of the bursar before
 }
 
 // wait is an asking that there was no room for.
@@ -53,21 +55,22 @@
 // bursar is the part of whoever holds the office.
 type bursar struct {
 	*Settings
-	books map[Key]*book // tidy deletes
-	known bool          // all that counts of the bursar before is in the books
+	books   map[Key]*book // tidy deletes
+	handed  *handed       // by the bursar before, who left in peace; nil: nothing
+	recall  *recall       // nil: it is over, and the books may be used
+	up      float64       // for how long those keepers have run who told what counts
+	parked  []*parked
+	numbers uint64 // of what keepers are told and asked
 }
 
-// takeOver opens the books with what the bursar before handed over.
-func (b *bursar) takeOver(h *handed) {
-	b.books, b.known = map[Key]*book{}, h != nil
-	if h == nil {
-		return
-	}
-	for n, i := range h.items {
-		k := &book{key: i.Key, whole: i.Whole, next: i.Whole, nextAt: h.at, given: map[holder]*credit{}, first: math.Inf(1), usedAt: h.at}
-		k.give(holder{h.by, uint64(n)}, &credit{amount: toUnits(i.Amount), until: h.at + b.longer(i.Rest), done: true})
+// find gives the book of a budget.
+func (b *bursar) find(now float64, i *Item) *book {
+	k := b.books[i.Key]
+	if k == nil {
+		k = &book{key: i.Key, whole: i.Whole, next: i.Whole, nextAt: now, given: map[holder]*credit{}, first: math.Inf(1), usedAt: now}
 		b.books[i.Key] = k
 	}
+	return k
 }
 
 // handOver gives all that still counts, where one message holds it.
@@ -80,7 +83,7 @@
 		for _, c := range k.given {
 			last = max(last, c.until)
 		}
-		items = append(items, Item{Key: k.key, Amount: float64(k.sum) / 1e6, Whole: k.whole, Rest: last - now})
+		items = append(items, Item{Key: k.key, Amount: float64(k.sum) / 1e6, Whole: k.whole, Rest: last - now, Lease: k.rest})
 	}
 	return items, len(items) <= mostItems
 }
@@ -128,19 +131,13 @@
 // pool is what the bursar may give of a whole.
 func (b *bursar) pool(k *book) units { return units(k.whole * (1 - b.Firm) * 1e6) }
 
-// of gives the book of a budget. wonAt is since when this office lasts: what an earlier bursar gave has ended by then, or
-// where it yielded within a lease, and counts for a rest more.
+// of gives the book of a budget as one who asks tells it. wonAt is since when this office lasts: what an earlier bursar gave, and
+// what is not in the books, has ended a lease later, or where it yielded within a lease, and counts for a rest more.
 func (b *bursar) of(now, wonAt float64, i *Item) *book {
-	k := b.books[i.Key]
-	if k == nil {
-		k = &book{key: i.Key, whole: i.Whole, next: i.Whole, nextAt: now, given: map[holder]*credit{}, first: math.Inf(1)}
-		b.books[i.Key] = k
-	}
+	k := b.find(now, i)
 	k.usedAt = now
 	k.rest = max(k.rest, i.Rest)
-	if !b.known {
-		k.openAt = wonAt + b.longer(b.Lease+k.rest)
-	}
+	b.opens(k, wonAt)
 	// The least that anybody tells holds; a higher one only once nobody has told the lower for a rest.
 	if now > k.nextAt+max(k.rest, b.Lease) {
 		k.whole, k.next, k.nextAt = k.next, i.Whole, now
@@ -150,8 +147,9 @@
 	return k
 }
 
-// ask takes what one asks for, and gives what can be answered at once, and the books that somebody waits for or that have more room.
-func (b *bursar) ask(now, wonAt float64, from ID, at string, items []Item) (answers []Item, moved []*book) {
+// ask takes what one asks for, and gives what can be answered at once, the books that somebody waits for or that have more room,
+// and what counts for less now.
+func (b *bursar) ask(now, wonAt float64, from ID, at string, items []Item) (answers []Item, moved []*book, less []Item) {
 	for _, i := range items {
 		of := holder{from, i.Number}
 		if i.Done { // it tells no whole, and a book that is not there has nothing of it
@@ -166,12 +164,14 @@
 				if held { // it is out until told otherwise, or for as long as it may be
 					until = c.until
 				}
-				if used := min(c.amount, toUnits(i.Amount)); used > 0 {
+				used := min(c.amount, toUnits(i.Amount))
+				if used > 0 {
 					k.give(of, &credit{amount: used, until: until, done: true})
 				} else {
 					k.take(of)
 				}
 				moved = append(moved, k)
+				less = append(less, Item{Key: i.Key, Of: from, Number: i.Number, Amount: float64(used) / 1e6, Whole: k.whole, Rest: k.rest, Lease: max(until-now, 0)})
 			}
 			k.waiting = slices.DeleteFunc(k.waiting, func(w *wait) bool { return w.holder == of })
 			continue
@@ -181,7 +181,9 @@
 		c := k.given[of]
 		switch {
 		case c != nil: // the answer was lost; the lease runs from the asking that was answered
-			if !c.done {
+			if c.recalled { // of the bursar before: his answer is not to be waited for, and the holder says so by giving it back
+				answers = append(answers, Item{Number: i.Number, Try: i.Try, Key: i.Key, Amount: float64(c.amount) / 1e6})
+			} else if !c.done && !c.parked {
 				answers = append(answers, Item{Number: i.Number, Try: c.try, Key: i.Key, Amount: float64(c.amount) / 1e6, Lease: c.lease})
 			}
 		case toUnits(i.Amount) > b.pool(k):
@@ -196,7 +198,7 @@
 			moved = append(moved, k)
 		}
 	}
-	return answers, moved
+	return answers, moved, less
 }
 
 // serve gives what there is room for, the smallest first, as batches leave: who waits for much is passed by only as long as it
@@ -204,12 +206,12 @@
 func (b *bursar) serve(now, office float64, k *book) (out []Send) {
 	k.drop(now)
 	reply := func(w *wait, i Item) {
-		i.Number, i.Try, i.Key = w.Number, w.item.Try, k.key
+		i.Number, i.Try, i.Key, i.Of = w.Number, w.item.Try, k.key, w.ID
 		out = append(out, Send{w.to, Message{Kind: Reply, To: w.Start, Items: []Item{i}}})
 	}
 	k.waiting = slices.DeleteFunc(k.waiting, func(w *wait) bool { return now > w.heard+4*b.Again })
 	lease := min(b.Lease, (office-now)/(1+2*b.Drift))
-	if now < k.openAt || lease < b.Lease/10 {
+	if b.recall != nil || now < k.openAt || lease < b.Lease/10 {
 		return nil
 	}
 	free := b.pool(k) - k.sum
@@ -255,6 +257,12 @@
 // next is when something that waits may find room.
 func (b *bursar) next(now float64) float64 {
 	at := math.Inf(1)
+	for _, p := range b.parked {
+		at = min(at, p.again)
+	}
+	if b.recall != nil {
+		return min(at, b.recall.again)
+	}
 	for _, k := range b.books {
 		if len(k.waiting) == 0 {
 			continue
--- a/internal/shares/explore.go
+++ b/internal/shares/explore.go
@@ -27,12 +27,26 @@
 		if h := k.handed; h != nil {
 			p("%v %.4g %v|", h.by, t(h.at), h.items)
 		}
+		p("%.4g %v|", t(k.knows), k.known(m.now))
+	}
+	p("%.4g %d|", m.bursar.up, m.bursar.numbers)
+	if h := m.bursar.handed; h != nil {
+		p("%v %.4g %v|", h.by, t(h.at), h.items)
+	}
+	if r := m.bursar.recall; r != nil {
+		p("%d %.4g|", r.number, t(r.again))
+		for _, at := range slices.Sorted(maps.Keys(r.from)) {
+			p("%s %v|", at, *r.from[at])
+		}
+	}
+	for _, w := range m.bursar.parked {
+		p("%d %v %v %.4g|", w.number, w.items, w.by, t(w.again))
 	}
 	for _, b := range m.bursar.inOrder() {
-		p("%v %.4g %.4g %.4g %.4g %.4g %d %v|", b.key, b.whole, b.next, t(b.nextAt), b.rest, t(b.openAt), b.sum, m.bursar.known)
+		p("%v %.4g %.4g %.4g %.4g %.4g %d|", b.key, b.whole, b.next, t(b.nextAt), b.rest, t(b.openAt), b.sum)
 		for _, of := range slices.SortedFunc(maps.Keys(b.given), compareHolders) {
 			c := b.given[of]
-			p("%v %d %.4g %.4g %d %v|", of, c.amount, t(c.until), c.lease, c.try, c.done)
+			p("%v %d %.4g %.4g %d %v %v %v|", of, c.amount, t(c.until), c.lease, c.try, c.done, c.parked, c.recalled)
 		}
 		for _, w := range b.waiting {
 			p("%v %v %s %.4g %.4g|", w.holder, w.item, w.to, t(w.since), t(w.heard))
--- a/internal/shares/keeper.go
+++ b/internal/shares/keeper.go
@@ -22,6 +22,9 @@
 	takes  *handed // what the office was taken over with; nil: nothing
 	handed *handed // what a bursar who left has handed over; nil: nothing, or another was promised since
 	first  float64 // since when nobody's promise stands in the own way; 0: one does
+
+	records map[Key]map[holder]record // of what bursars gave; forget deletes
+	knows   float64                   // since when all that is given is told to this start too
 }
 
 // claim is one of our own that is not void yet.
--- a/internal/shares/machine.go
+++ b/internal/shares/machine.go
@@ -112,7 +112,8 @@
 	m.firm = NewPlain(fixed)
 	if s.rank(s.Listen) >= 0 {
 		// What an earlier start has promised may still hold.
-		m.keeper = &keeper{Settings: &m.Settings, quiet: now + s.longer(s.longer(s.Term))}
+		quiet := now + s.longer(s.longer(s.Term))
+		m.keeper = &keeper{Settings: &m.Settings, quiet: quiet, knows: quiet, records: map[Key]map[holder]record{}}
 	}
 	return m
 }
@@ -302,6 +303,9 @@
 	m.speak()
 	if m.now >= m.forget {
 		m.forget = m.now + tidyEvery
+		if m.keeper != nil {
+			m.keeper.forget(m.now)
+		}
 		for key, b := range m.budgets {
 			if b.asking == nil && len(b.credits) == 0 && len(b.firm) == 0 && m.now > b.wantAt+keepBudget {
 				delete(m.budgets, key)
@@ -321,6 +325,7 @@
 	if !k.office(m.now) {
 		return
 	}
+	m.recalls()
 	if m.now >= m.tidyAt {
 		m.tidyAt = m.now + tidyEvery
 		m.bursar.tidy(m.now)
@@ -339,10 +344,11 @@
 		return
 	}
 	m.note(true, "bursar", "is", is, "until", m.keeper.mine, "books", len(m.bursar.books))
-	m.bursar.takeOver(m.keeper.takes)
+	m.bursar.begin(m.keeper.takes)
 	m.keeper.takes = nil
 	if is {
 		m.at = m.Listen
+		m.recalls()
 	} else if m.at == m.Listen {
 		m.at = ""
 	}
@@ -356,11 +362,18 @@
 	}
 }
 
+// deliver sends what is given, once most keepers know of it, and what never will be at once.
 func (m *Machine) deliver(sends []Send) {
+	var gives []Send
 	for _, s := range sends {
-		s.Bursar = m.Listen
-		m.send(s.To, s.Message)
+		if s.Bursar = m.Listen; s.Items[0].Never {
+			s.Items[0].Of = ID{}
+			m.send(s.To, s.Message)
+		} else {
+			gives = append(gives, s)
+		}
 	}
+	m.park(gives)
 }
 
 // Heard takes in a message of this fleet. It has been checked for its form.
@@ -402,6 +415,26 @@
 		m.asked(message)
 	case Reply:
 		m.replied(message)
+	case Record, Recall:
+		if k == nil || m.rank(message.At) < 0 {
+			return
+		}
+		if message.Kind == Record {
+			m.record(message)
+		} else {
+			m.tells(message)
+		}
+	case Recorded:
+		if k != nil && k.office(m.now) {
+			m.recorded(message)
+		}
+	case Recalled:
+		if r := m.bursar.recall; r != nil && k != nil && m.rank(message.At) >= 0 && k.office(m.now) && r.hear(message, len(m.Keepers)) {
+			m.opened()
+			for _, b := range m.bursar.inOrder() {
+				m.deliver(m.bursar.serve(m.now, k.mine, b))
+			}
+		}
 	}
 }
 
@@ -416,8 +449,9 @@
 		m.send(message.At, reply)
 		return
 	}
-	answers, moved := m.bursar.ask(m.now, k.wonAt, message.From, message.At, message.Items)
+	answers, moved, less := m.bursar.ask(m.now, k.wonAt, message.From, message.At, message.Items)
 	m.send(message.At, Message{Kind: Reply, To: message.From.Start, Bursar: m.Listen, Items: answers})
+	m.lessens(less)
 	for _, b := range moved {
 		m.deliver(m.bursar.serve(m.now, k.mine, b))
 	}
@@ -676,12 +710,12 @@
 // bursarOpen tells whether nothing counts any more of the bursar before that is not in the books.
 func (m *Machine) bursarOpen() bool {
 	b := &m.bursar
-	if b.known {
-		return true
+	if b.recall != nil {
+		return false
 	}
-	longest := m.window
+	longest := &book{rest: m.window}
 	for _, k := range b.books {
-		longest = max(longest, k.rest)
+		longest.rest = max(longest.rest, k.rest)
 	}
-	return m.now >= m.keeper.wonAt+b.longer(b.Lease+longest)
+	return b.handed != nil || b.complete(longest) || m.now >= m.keeper.wonAt+b.longer(b.Lease+longest.rest)
 }
--- a/internal/shares/shares.go
+++ b/internal/shares/shares.go
@@ -175,6 +175,10 @@
 	Ask                             // to the bursar: these credits are wanted, those are done with
 	Handover                        // a yield of a bursar who leaves, with all that still counts in his books
 	Reply                           // of the bursar, or of a keeper who is not: who is
+	Record                          // to a keeper: this is given, or counts for less now; with a number it wants to be answered
+	Recorded                        // of a keeper: I know
+	Recall                          // of a new bursar to a keeper: what counts?
+	Recalled                        // a page of that
 	messageKinds
 )
 
@@ -189,10 +193,19 @@
 	Bursar string // address, where it is known
 	Prior  ID     // of a promise: whom its keeper promised before
 	Items  []Item
+
+	Page, Pages uint32  // of what a keeper knows
+	Up          float64 // for how long it has been told all, seconds
 }
 
 // answers tells whether it is an answer to one start of a router.
-func (m *Message) answers() bool { return m.Kind == Promise || m.Kind == Refusal || m.Kind == Reply }
+func (m *Message) answers() bool {
+	switch m.Kind {
+	case Promise, Refusal, Reply, Recorded, Recalled:
+		return true
+	}
+	return false
+}
 
 // Item is about one credit.
 type Item struct {
@@ -202,7 +215,8 @@
 	Amount float64 // wanted, or given; of one that is done, used
 	Whole  float64 // of the budget, as the holder knows it
 	Rest   float64 // seconds that a use counts on
-	Lease  float64 // seconds for which it is given
+	Lease  float64 // seconds for which it is given; of a record: for which it counts
+	Of     ID      // of a record: its holder
 	Done   bool    // nothing more is used of it
 	Never  bool    // the whole does not bear it
 }
@@ -237,9 +251,10 @@
 // longer is a time of one's own that lasts longer than that time does on any other clock of the fleet.
 func (s *Settings) longer(t float64) float64 { return t * (1 + 2*s.Drift) }
 
-// roll is the hash of the keepers' list.
+// roll is the hash of the keepers' list, and of how they go about it: a bursar who told keepers nothing of what he gave must not be
+// followed by one who believes them to know.
 func (s *Settings) roll() uint32 {
-	h := uint32(2166136261)
+	h := uint32(2166136261) ^ 2
 	for _, k := range s.Keepers {
 		for _, c := range []byte(k + " ") {
 			h = (h ^ uint32(c)) * 16777619
--- a/internal/shares/state.go
+++ b/internal/shares/state.go
@@ -57,7 +57,7 @@
 		s.Office, s.Since = true, k.wonAt
 		for _, b := range m.bursar.inOrder() {
 			b.drop(m.now)
-			g := Given{Key: b.key, Name: m.name(b.key), Whole: b.whole, Free: float64(m.bursar.pool(b)-b.sum) / 1e6, Waiting: len(b.waiting), Open: m.now >= b.openAt,
+			g := Given{Key: b.key, Name: m.name(b.key), Whole: b.whole, Free: float64(m.bursar.pool(b)-b.sum) / 1e6, Waiting: len(b.waiting), Open: m.bursar.recall == nil && m.now >= b.openAt,
 				Holders: map[string]float64{}}
 			for of, c := range b.given {
 				if amount := float64(c.amount) / 1e6; c.done || m.now > c.until-m.longer(b.rest) {
