--- a/internal/crowd/cmd/main.go
+++ b/internal/crowd/cmd/main.go
@@ -10,10 +10,10 @@
 	"os"
 	"runtime"
 	"slices"
-	"sync"
 	"text/tabwriter"
 
 	"pitchfield/internal/crowd"
+	"pitchfield/internal/parallel"
 )
 
 type cell struct {
@@ -69,7 +69,7 @@
 		}
 	}
 	slices.Reverse(todo) // the long ones first
-	each(cores, todo)
+	parallel.Each(cores, len(todo), func(i int) { todo[i]() })
 	t := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(t, "routers\tloss\tslow\tseeds\thalf know (median)\tall know (median)\tall know (longest)\tsettled (median)\tnever\tfalse deaths\theard by\trouter-hours\tpackets/s\tbytes/s")
 	for i, c := range cells {
@@ -102,7 +102,7 @@
 			results[s] = crowd.Quiet(crowd.Options{Routers: routers, Seed: uint64(5000 + s), Loss: 0.05}, seconds)
 		})
 	}
-	each(cores, todo)
+	parallel.Each(cores, len(todo), func(i int) { todo[i]() })
 	var sum crowd.Measure
 	for _, m := range results {
 		sum.Hours, sum.False, sum.Told = sum.Hours+m.Hours, sum.False+m.False, sum.Told+m.Told
@@ -121,7 +121,7 @@
 		}
 	}
 	slices.Reverse(todo)
-	each(cores, todo)
+	parallel.Each(cores, len(todo), func(i int) { todo[i]() })
 	t := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(t, "routers\tused\tidle\tuneven\tfixed\tsmall (median, 99%)\theavy (median, 99%)\tsent\tfixed\tnewcomer\tbursar dead\tdead's part\tpackets/s\tbytes/s\tmost")
 	for _, p := range results {
@@ -135,18 +135,3 @@
 		}
 	}
 }
-
-func each(cores int, todo []func()) {
-	var wait sync.WaitGroup
-	free := make(chan struct{}, max(cores, 1))
-	for _, do := range todo {
-		free <- struct{}{}
-		wait.Add(1)
-		go func() {
-			defer wait.Done()
-			do()
-			<-free
-		}()
-	}
-	wait.Wait()
-}
--- a/internal/explore/cmd/main.go
+++ b/internal/explore/cmd/main.go
@@ -1,45 +1,112 @@
 // Command cmd explores small worlds of routers that divide a whole, and prints what came of it:
 //
-//	go run ./internal/explore/cmd -states 200000
-//	go run -overlay defect.json ./internal/explore/cmd     # with a defect on purpose: the shortest way to what it breaks
+//	go run ./internal/explore/cmd -states 200000           # all that may happen
+//	go run ./internal/explore/cmd -walks 20000             # at random, in worlds that are beyond that
+//	go run ./internal/explore/cmd -defects -walks 20000    # with each defect on purpose: by how many steps it is found
 package main
 
 import (
 	"flag"
 	"fmt"
 	"os"
+	"os/exec"
+	"path/filepath"
 	"strings"
 	"time"
 
 	"pitchfield/internal/explore"
+	"pitchfield/internal/parallel"
 )
 
+type options struct {
+	states, depth, walks int
+	only                 string
+	beside               int
+}
+
 func main() {
-	states := flag.Int("states", 100000, "of each world, at the most")
-	depth := flag.Int("depth", 40, "at the most")
-	walks := flag.Int("walks", 0, "at random, of 300 steps, in each world, in place of all that may happen")
-	only := flag.String("only", "", "worlds whose name has this in it")
+	var o options
+	flag.IntVar(&o.states, "states", 100000, "of each world, at the most")
+	flag.IntVar(&o.depth, "depth", 40, "at the most")
+	flag.IntVar(&o.walks, "walks", 0, "at random, of 300 steps, in each world, in place of all that may happen")
+	flag.StringVar(&o.only, "only", "", "worlds whose name has this in it")
+	flag.IntVar(&o.beside, "beside", 2, "worlds, or defects, beside each other")
+	hunt := flag.Bool("defects", false, "put each defect of defects.toml in and look for it")
 	flag.Parse()
-	broken := false
-	fmt.Println("world                                      states    events  depth  seconds  broken")
+	ok := true
+	if *hunt {
+		ok = o.hunt()
+	} else {
+		ok = o.explore()
+	}
+	if !ok {
+		os.Exit(1)
+	}
+}
+
+func (o options) explore() bool {
+	var worlds []explore.Named
 	for _, w := range explore.Worlds() {
-		if !strings.Contains(w.Name, *only) {
-			continue
+		if strings.Contains(w.Name, o.only) {
+			worlds = append(worlds, w)
 		}
-		from := time.Now()
+	}
+	said, broken := make([]string, len(worlds)), make([]bool, len(worlds))
+	parallel.Each(o.beside, len(worlds), func(i int) {
+		w, from := worlds[i], time.Now()
 		var f explore.Found
-		if *walks > 0 {
-			f = explore.Walk(w.New, 1, *walks, 300)
+		if o.walks > 0 {
+			f = explore.Walk(w.New, 1, o.walks, 300)
 		} else {
-			f = explore.Explore(w.New, *depth, *states)
+			f = explore.Explore(w.New, o.depth, o.states)
 		}
-		fmt.Printf("%-40s %8d  %8d  %5d  %7.1f  %t\n", w.Name, f.States, f.Steps, f.Depth, time.Since(from).Seconds(), f.Broken != "")
-		if f.Broken != "" {
-			broken = true
-			fmt.Println(explore.Story(w.New, f.Way, explore.Word))
+		said[i] = fmt.Sprintf("%-40s %8d  %8d  %5d  %7.1f  %t", w.Name, f.States, f.Steps, f.Depth, time.Since(from).Seconds(), f.Broken != "")
+		if broken[i] = f.Broken != ""; broken[i] {
+			said[i] += fmt.Sprintf(" in %d steps\n%s", len(f.Way), explore.Story(w.New, f.Way, explore.Word))
 		}
+	})
+	fmt.Println("world                                      states    events  depth  seconds  broken")
+	ok := true
+	for i, text := range said {
+		fmt.Println(text)
+		ok = ok && !broken[i]
 	}
-	if broken {
-		os.Exit(1)
+	return ok
+}
+
+// hunt builds this command with each defect and lets it look.
+func (o options) hunt() bool {
+	all, err := explore.Defects()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "explore:", err)
+		return false
+	}
+	folder, err := os.MkdirTemp("", "explore")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "explore:", err)
+		return false
+	}
+	defer os.RemoveAll(folder)
+	found := make([]bool, len(all))
+	parallel.Each(o.beside, len(all), func(i int) {
+		d, program := all[i], filepath.Join(folder, fmt.Sprint(i))
+		if err := d.Build(".", "./internal/explore/cmd", program); err != nil {
+			fmt.Println(err)
+			return
+		}
+		out, _ := exec.Command(program, "-walks", fmt.Sprint(o.walks), "-states", fmt.Sprint(o.states), "-only", d.World, "-beside", "1").Output() //nolint:errcheck // it fails where it finds
+		said := "not found"
+		for _, line := range strings.Split(string(out), "\n") {
+			if world, how, is := strings.Cut(line, "true in "); is && !found[i] {
+				found[i], said = true, fmt.Sprintf("found in %s, in the world %q", how, strings.TrimSpace(world[:min(40, len(world))]))
+			}
+		}
+		fmt.Printf("%s: %s\n", d.Name, said)
+	})
+	for _, is := range found {
+		if !is {
+			return false
+		}
 	}
+	return true
 }
--- a/internal/torture/cmd/main.go
+++ b/internal/torture/cmd/main.go
@@ -6,6 +6,7 @@
 package main
 
 import (
+	"cmp"
 	"flag"
 	"fmt"
 	"os"
@@ -16,6 +17,8 @@
 	"sync"
 	"time"
 
+	"pitchfield/internal/defects"
+	"pitchfield/internal/parallel"
 	"pitchfield/internal/torture"
 )
 
@@ -152,7 +155,7 @@
 	var mutex sync.Mutex
 	broken, batches := 0, 0
 	var failure error
-	each(o.beside, int(o.seeds), func(i int) {
+	parallel.Each(o.beside, int(o.seeds), func(i int) {
 		r, err := torture.Run(torture.Options{Program: program, Older: older, Seed: o.first + uint64(i), Long: o.long, Clients: o.clients, Folder: o.folder,
 			Routers: o.routers, Talk: o.talk, Shares: o.shares, Limits: o.limits, Firm: o.firm})
 		mutex.Lock()
@@ -201,19 +204,19 @@
 
 // hunt looks for each defect until a seed finds it. A finding under another rule counts as well: it is told which.
 func (o options) hunt() error {
-	defects, err := torture.Defects()
+	all, err := torture.Defects()
 	if err != nil {
 		return err
 	}
-	defects = slices.DeleteFunc(defects, func(d torture.Defect) bool { return !strings.Contains(d.Name, o.only) })
+	all = slices.DeleteFunc(all, func(d defects.Defect) bool { return !strings.Contains(d.Name, o.only) })
 	type outcome struct {
 		seeds   int
 		finding *torture.Finding
 		err     error
 	}
-	outcomes := make([]outcome, len(defects))
-	each(o.beside, len(defects), func(i int) {
-		d, out := defects[i], &outcomes[i]
+	outcomes := make([]outcome, len(all))
+	parallel.Each(o.beside, len(all), func(i int) {
+		d, out := all[i], &outcomes[i]
 		routers := 1
 		if d.Fleet {
 			routers = max(o.routers, 3)
@@ -221,11 +224,11 @@
 		folder := filepath.Join(o.folder, fmt.Sprint("defect-", i))
 		program := filepath.Join(folder, "pitchfield")
 		if out.err = os.MkdirAll(folder, 0o755); out.err == nil {
-			out.err = d.Build(o.root, program)
+			out.err = d.Build(o.root, "./cmd/pitchfield", program)
 		}
 		for seed := o.first; seed < o.first+o.seeds && out.err == nil && out.finding == nil; seed++ {
 			r, err := torture.Run(torture.Options{Program: program, Seed: seed, Long: o.long, Clients: o.clients, Folder: folder,
-				Routers: routers, Talk: o.talk || d.Talk, Shares: o.shares || d.Shares, Limits: o.limits || d.Limits, Firm: o.firm})
+				Routers: routers, Talk: o.talk || d.Talk, Shares: o.shares || d.Shares, Limits: o.limits || d.Limits, Firm: cmp.Or(d.Firm, o.firm)})
 			if out.err = err; err != nil {
 				break
 			}
@@ -251,23 +254,7 @@
 		}
 	}
 	if missed > 0 {
-		return fmt.Errorf("%d of %d defects were not found", missed, len(defects))
+		return fmt.Errorf("%d of %d defects were not found", missed, len(all))
 	}
 	return nil
 }
-
-// each does n things, so many at a time.
-func each(beside, n int, do func(i int)) {
-	var wait sync.WaitGroup
-	free := make(chan struct{}, max(beside, 1))
-	for i := range n {
-		free <- struct{}{}
-		wait.Add(1)
-		go func() {
-			defer wait.Done()
-			defer func() { <-free }()
-			do(i)
-		}()
-	}
-	wait.Wait()
-}
--- a/internal/torture/defects.go
+++ b/internal/torture/defects.go
@@ -2,78 +2,12 @@
 
 import (
 	_ "embed"
-	"encoding/json"
-	"fmt"
-	"os"
-	"os/exec"
-	"path/filepath"
-	"strings"
 
-	"github.com/pelletier/go-toml/v2"
+	"pitchfield/internal/defects"
 )
 
 //go:embed defects.toml
 var defectsText []byte
 
-// Defect is a fault put into the router on purpose: one piece of one file stands for another.
-type Defect struct {
-	Name          string
-	Rule          int    // that it breaks
-	Fleet         bool   // it shows only where there are several routers,
-	Talk, Shares  bool   // that talk, and divide by that,
-	Limits        bool   // not work for cold engines alone
-	File          string // from the root of the repository
-	Before, After string
-}
-
 // Defects are those that the checker has to find.
-func Defects() ([]Defect, error) {
-	var out struct{ Defect []Defect }
-	if err := toml.Unmarshal(defectsText, &out); err != nil {
-		return nil, fmt.Errorf("defects: %w", err)
-	}
-	return out.Defect, nil
-}
-
-// Build builds the program in the repository at root with the defect; the tree stays as it is. Without an out nothing is
-// kept, and only what has the defect is built.
-func (d Defect) Build(root, out string) error {
-	root, err := filepath.Abs(root) // the list of what stands for what is read from there
-	if err != nil {
-		return fmt.Errorf("defect: %w", err)
-	}
-	folder, err := os.MkdirTemp("", "defect")
-	if err != nil {
-		return fmt.Errorf("defect: %w", err)
-	}
-	defer os.RemoveAll(folder)
-	file := filepath.Join(root, d.File)
-	text, err := os.ReadFile(file)
-	if err != nil {
-		return fmt.Errorf("defect %q: %w", d.Name, err)
-	}
-	if n := strings.Count(string(text), d.Before); n != 1 {
-		return fmt.Errorf("defect %q: what it replaces stands %d times in %s", d.Name, n, d.File)
-	}
-	changed, overlay := filepath.Join(folder, "changed.go"), filepath.Join(folder, "overlay.json")
-	if err := os.WriteFile(changed, []byte(strings.Replace(string(text), d.Before, d.After, 1)), 0o600); err != nil {
-		return fmt.Errorf("defect: %w", err)
-	}
-	list, err := json.Marshal(map[string]any{"Replace": map[string]string{file: changed}})
-	if err == nil {
-		err = os.WriteFile(overlay, list, 0o600)
-	}
-	if err != nil {
-		return fmt.Errorf("defect: %w", err)
-	}
-	args := []string{"build", "-overlay", overlay, "./" + filepath.Dir(d.File)}
-	if out != "" {
-		args = []string{"build", "-overlay", overlay, "-o", out, "./cmd/pitchfield"}
-	}
-	c := exec.Command("go", args...)
-	c.Dir = root
-	if said, err := c.CombinedOutput(); err != nil {
-		return fmt.Errorf("defect %q: %w: %s", d.Name, err, said)
-	}
-	return nil
-}
+func Defects() ([]defects.Defect, error) { return defects.Read(defectsText) }
--- a/internal/torture/torture_test.go
+++ b/internal/torture/torture_test.go
@@ -184,11 +184,11 @@
 	rules := map[int]bool{}
 	for _, d := range defects {
 		rules[d.Rule] = true
-		require.NoError(t, d.Build("../..", ""))
+		require.NoError(t, d.Build("../..", "", ""))
 	}
 	broken := defects[0]
 	broken.After = "	this is no Go"
-	assert.Error(t, broken.Build("../..", ""), "what is put in is what is built")
+	assert.Error(t, broken.Build("../..", "", ""), "what is put in is what is built")
 	for rule := range 8 {
 		assert.True(t, rules[rule], "rule %d has no defect", rule)
 	}
