News: routers tell each other what is out at engines, by a tree over their view

Change: internal/news sums what is out up a tree over the members by name, and tells totals down, each 100 ms: two datagrams a telling for most routers at any size. Not believed where it is old, lacks a tenth of the members, or the view is cut off. The module goes by it where it holds (brain.Others): own and others' threads, homes, three engines drawn. '[fleet] load'; off without it, and so in run.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -6,7 +6,6 @@
 
 import (
 	"cmp"
-	"fmt"
 	"maps"
 	"math"
 	"slices"
@@ -21,8 +20,10 @@
 	firstMark, leastMark, mostMark = 1.5, 0.4, 4.0 // threads a core below which a batch starts
 
 	markStep, goodStretch = 0.02, 1.5 // it follows answers to this time over time alone: full, not crowded
-	homeBonus, homes      = 0.4, 2    // threads a core that a likely warm data set is worth, on so many engines
-	blocked, slowLimit    = 2.0, 4    // threads a core for a load on the data set; slow batches that wait
+	// Where all are told of the same loads, a few drawn engines are looked at first, or all meet on the idlest.
+	looked, passed     = 3.0, 1.0 // so many; threads a core by which the others have to be emptier
+	homeBonus, homes   = 0.4, 2   // threads a core that a likely warm data set is worth, on so many engines
+	blocked, slowLimit = 2.0, 4   // threads a core for a load on the data set; slow batches that wait
 
 	firstLoad, mostLoad, loadTime = 0.9, 0.95, 2.0 // load until something is seen, its clamp, and its pace
 
@@ -71,15 +72,6 @@
 	return r
 }
 
-func (r *Router) draw() float64 {
-	r.random = 4294957665*(r.random&0xffffffff) + r.random>>32
-	return float64(r.random&0xffffffff) / (1 << 32)
-}
-
-func (r *Router) log(format string, args ...any) {
-	r.next = append(r.next, Decision{Kind: Log, Text: fmt.Sprintf(format, args...)})
-}
-
 func (r *Router) Clock(now float64) {
 	r.now = max(r.now, now)
 	// Woken far too late we stood still ourselves: silence meanwhile was ours, and what comes now is old.
@@ -659,9 +651,11 @@
 			}) {
 				f += blocked
 			}
-		} else if (r.routers <= 1 || r.fresh(e)) &&
+		} else if (r.routers <= 1 || r.fresh(e) || r.now < e.othersTo) &&
 			shares.Mix(math.Float64bits(b.Tables)>>24+1, uint64(e.ID))*float64(len(r.engines)) < homes {
 			f -= homeBonus
+		} else if r.now < e.othersTo && r.draw()*float64(len(r.engines)) >= looked {
+			f += passed
 		}
 		h := e.by[b.Group]
 		f += failCost * h.bad / (h.good + h.bad + 4)
@@ -744,6 +738,9 @@
 		}
 	}
 	own, since = own.per(e), since.per(e)
+	if r.now < e.othersTo { // what all have out is told, but for what has come in the meantime
+		return own.add(e.others, 1)
+	}
 	all, others := amount{}.add(own, r.alike), 1-1/r.routers
 	switch {
 	case r.fresh(e) && e.report.Memory < 0:
--- a/brain/figures.go
+++ b/brain/figures.go
@@ -86,3 +86,9 @@
 	}
 	return rep
 }
+
+// draw gives the next number below 1 of the router's own chance.
+func (r *Router) draw() float64 {
+	r.random = 4294957665*(r.random&0xffffffff) + r.random>>32
+	return float64(r.random&0xffffffff) / (1 << 32)
+}
--- a/brain/seen.go
+++ b/brain/seen.go
@@ -1,6 +1,8 @@
 package brain
 
 import (
+	"fmt"
+
 	"pitchfield/internal/limits"
 	"pitchfield/internal/shares"
 )
@@ -77,3 +79,20 @@
 // Fleet brings how many routers are there. While that is not sure hosts tell the larger number, so that more are taken to act
 // on the like of what is seen here.
 func (r *Router) Fleet(routers int) { r.routers = max(float64(routers), 1) }
+
+// Out is what this router has out at an engine: threads, and MB of memory.
+func (e *Engine) Out() (threads, memory float64) {
+	for _, d := range e.outs {
+		threads, memory = threads+d.takes.threads, memory+d.takes.memory
+	}
+	return threads, memory
+}
+
+// Others brings what all other routers have out at an engine, which holds until a time.
+func (r *Router) Others(e *Engine, threads, memory, until float64) {
+	e.others, e.othersTo = amount{0, threads, memory}.per(e), until
+}
+
+func (r *Router) log(format string, args ...any) {
+	r.next = append(r.next, Decision{Kind: Log, Text: fmt.Sprintf(format, args...)})
+}
--- a/brain/types.go
+++ b/brain/types.go
@@ -223,6 +223,8 @@
 	health                                       // in all
 	by                 map[*ServiceGroup]*health // and for one group's batches; a restart voids it
 	told               amount                    // by the report: threads a core, share of memory
+	others             amount                    // out of all other routers, as they tell it,
+	othersTo           float64                   // and until when that holds
 }
 
 // health is how an engine does by the endings of its dispatches.
--- a/example/fleet/main.go
+++ b/example/fleet/main.go
@@ -97,7 +97,7 @@
 		return err
 	}
 	config, own := filepath.Join(f.folder, fmt.Sprintf("config-%d.json", i)), filepath.Join(f.folder, fmt.Sprintf("own-%d.toml", i))
-	settings := fmt.Sprintf("[status]\nlisten = %q\n\n[fleet]\nname = \"example\"\nlisten = %q\nseeds = [\"127.0.0.1:7510\", \"127.0.0.1:7511\"]\nnetworks = [\"127.0.0.0/8\"]\n\n"+
+	settings := fmt.Sprintf("[status]\nlisten = %q\n\n[fleet]\nname = \"example\"\nlisten = %q\nseeds = [\"127.0.0.1:7510\", \"127.0.0.1:7511\"]\nnetworks = [\"127.0.0.0/8\"]\nload = \"100ms\"\n\n"+
 		"[shares]\nkeepers = [\"127.0.0.1:7510\", \"127.0.0.1:7511\", \"127.0.0.1:7512\"]\n", address(7600), address(7510))
 	if err := errors.Join(os.WriteFile(config, text, 0o600), os.WriteFile(own, []byte(settings), 0o600)); err != nil {
 		return err
--- a/internal/emulator/sim.go
+++ b/internal/emulator/sim.go
@@ -61,6 +61,7 @@
 	Adaptive limits.AdaptiveSettings
 	All      *limits.Budget   // of further dispatches of all batches, and
 	Engine   *limits.Budget   // to each engine; nil: none
+	Load     float64          // routers tell each other what is out, so often; 0: they don't
 	Talk     bool             // routers talk to each other,
 	Shares   *shares.Settings // and divide what cold engines bear by that; nil: not
 	Log      io.Writer        // lines of what happens; nil: none
@@ -360,7 +361,7 @@
 	n.router = router.New(c, func(directory.Engine) *traffic.EngineProtocol { return engineProtocol }, n.pool, s.now)
 	s.check.restarted(n)
 	s.check.listed(n, c.Known)
-	if s.options.Talk || s.options.Shares != nil {
+	if s.options.Talk || s.options.Load > 0 || s.options.Shares != nil {
 		n.tell(s.talkSet(n))
 	}
 	if s.options.Levels != nil {
--- a/internal/emulator/talk.go
+++ b/internal/emulator/talk.go
@@ -4,6 +4,7 @@
 	"fmt"
 
 	"pitchfield/internal/membership"
+	"pitchfield/internal/news"
 	"pitchfield/internal/router"
 	"pitchfield/internal/shares"
 )
@@ -30,6 +31,11 @@
 		}
 		set.Shares = &own
 	}
+	if s.options.Load > 0 {
+		own := news.Defaults()
+		own.Every, own.Stale = s.options.Load, own.Stale*s.options.Load/own.Every
+		set.News = &own
+	}
 	return set
 }
 
@@ -49,7 +55,7 @@
 				one := *w.Shares
 				shared = &one
 			}
-			to.tell(router.TalkCame{Message: &said, Shares: shared})
+			to.tell(router.TalkCame{Message: &said, Shares: shared, News: w.News})
 		}
 	})
 }
--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -42,6 +42,7 @@
 	Adaptive limits.AdaptiveSettings
 	All      *limits.Budget   // of further dispatches, and
 	Engine   *limits.Budget   // to each engine
+	Load     float64          // and tell each other what is out, so often
 	Talk     bool             // routers talk,
 	Shares   *shares.Settings // and divide by that; nil: not
 
@@ -73,6 +74,7 @@
 		Group    string  `toml:"group"`
 		Adaptive string  `toml:"adaptive"` // a kind of adaptive limit
 		Limit    float64 `toml:"limit"`    // of kind fixed
+		Load     float64 `toml:"load"`     // routers tell each other what is out, each so many seconds; 0: they don't
 		Talk     bool    `toml:"talk"`     // routers talk to each other,
 		Shares   bool    `toml:"shares"`   // and divide what cold engines bear by that,
 		Firm     float64 `toml:"firm"`     // of which so much stays with each
@@ -154,6 +156,7 @@
 				one.Routes = own.Routes.Copy
 			}
 		}
+		one.Load = v.Load
 		if one.Talk = v.Talk || v.Shares; v.Shares {
 			s := shares.Defaults()
 			s.Firm = v.Firm
@@ -243,7 +246,7 @@
 					todo = append(todo, Run{World: w.Name, Day: d.Name, Variant: v.Name, Seed: seed})
 					jobs = append(jobs, func() (*emulator.Result, error) {
 						return emulator.Play(w, d, emulator.Options{Seed: seed, Levels: v.Levels, Over: v.Over, Routes: v.Routes, Adaptive: v.Adaptive,
-							All: v.All, Engine: v.Engine, Talk: v.Talk, Shares: v.Shares})
+							All: v.All, Engine: v.Engine, Load: v.Load, Talk: v.Talk, Shares: v.Shares})
 					})
 				}
 			}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -11,6 +11,7 @@
 
 	"pitchfield/internal/findings"
 	"pitchfield/internal/membership"
+	"pitchfield/internal/news"
 )
 
 // Sections are [fleet] of an operator's settings.
@@ -34,6 +35,7 @@
 	Networks []string `toml:"networks"`
 	Every    string   `toml:"every"`
 	Accept   string   `toml:"accept-loss-after"`
+	Load     string   `toml:"load"`
 	Via      []struct {
 		To string `toml:"to"`
 		By string `toml:"by"`
@@ -46,9 +48,11 @@
 	Members  membership.Settings // but for who this router is
 	Networks []netip.Prefix
 	Via      map[netip.AddrPort]netip.AddrPort
+	News     *news.Settings // of what is out, as routers tell it; nil: they don't
 }
 
 const (
+	leastLoad, mostLoad     = 0.05, 0.25
 	leastEvery, mostEvery   = 0.05, 10
 	leastAccept, mostAccept = 5, 24 * 3600
 	mostSeeds               = 64
@@ -107,6 +111,14 @@
 		}
 		m.Accept = accept
 	}
+	if load := f.Seconds("fleet.load", s.Load, 3600); load > 0 {
+		if load < leastLoad || load > mostLoad {
+			f.Found("fleet.load", "%q is not from %gs to %gs: later all routers would meet on the engine that was idle then, earlier packets would be all that they do", s.Load, float64(leastLoad), float64(mostLoad))
+		}
+		n := news.Defaults()
+		n.Every, n.Stale = load, n.Stale*load/n.Every
+		out.News = &n
+	}
 	for i, v := range s.Via {
 		key := fmt.Sprintf("fleet.via[%d]", i)
 		to, ok := s.address(f, key+".to", v.To)
--- a/internal/installation/installation_test.go
+++ b/internal/installation/installation_test.go
@@ -161,6 +161,8 @@
 		`networks = ["10.1.0.0/24", "10.2.0.0/16"]|`:           "without networks anybody could talk",
 		`every = "500ms"|every = "1ms"`:                        "x.toml:6: fleet.every",
 		`every = "500ms"|accept-loss-after = "5s"`:             "x.toml:6: fleet.accept-loss-after",
+		`every = "500ms"|load = "1s"`:                          "x.toml:6: fleet.load",
+		`every = "500ms"|load = "10ms"`:                        "x.toml:6: fleet.load",
 		`every = "500ms"|every = 5`:                            "text in quotes is wanted, not 5",
 		`by = "10.1.0.1:17509"|by = "there"`:                   "x.toml:7: fleet.via[0].by",
 		`via = [{to = "10.2.0.9:7500"|via = [{to = "10.2.0.9"`: "x.toml:7: fleet.via[0].to",
--- a/internal/loop/talk.go
+++ b/internal/loop/talk.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"pitchfield/internal/membership"
+	"pitchfield/internal/news"
 	"pitchfield/internal/router"
 	"pitchfield/internal/shares"
 	"pitchfield/internal/talk"
@@ -21,6 +22,7 @@
 	Fleet    string
 	Settings membership.Settings
 	Shares   *shares.Settings                  // of budgets that are divided with them; nil: none
+	News     *news.Settings                    // of what is out, as they tell it; nil: they don't
 	Networks []netip.Prefix                    // who may talk
 	Via      map[netip.AddrPort]netip.AddrPort // by which address one is reached, where it is not the one it tells
 	Members  func(router.Members, Talked)      // is told how the fleet stands; nil: nobody asks
@@ -60,7 +62,7 @@
 		return
 	}
 	t.fd = fd
-	l.post(router.TalkSet{Settings: t.Settings, Shares: t.Shares})
+	l.post(router.TalkSet{Settings: t.Settings, Shares: t.Shares, News: t.News})
 }
 
 // talkCame takes a datagram in. It is checked whole; what is dropped is counted.
@@ -87,7 +89,7 @@
 		t.talked.Unreadable++
 		l.dropped("can't be read", c, err)
 	default:
-		l.post(router.TalkCame{Message: &message.Message, Shares: message.Shares})
+		l.post(router.TalkCame{Message: &message.Message, Shares: message.Shares, News: message.News})
 	}
 }
 
@@ -112,7 +114,7 @@
 // say sends a datagram. One that can't be sent at once is lost: whoever waits for it asks again.
 func (l *Loop) say(e router.Talk) {
 	t := l.talk
-	data, err := talk.Encode(t.Fleet, &talk.Message{Message: e.Message, Shares: e.Shares})
+	data, err := talk.Encode(t.Fleet, &talk.Message{Message: e.Message, Shares: e.Shares, News: e.News})
 	if err == nil {
 		err = t.send(e.To, data)
 	}
--- a/internal/router/events.go
+++ b/internal/router/events.go
@@ -7,6 +7,7 @@
 	"pitchfield/internal/levels"
 	"pitchfield/internal/limits"
 	"pitchfield/internal/membership"
+	"pitchfield/internal/news"
 	"pitchfield/internal/shares"
 	"pitchfield/internal/traffic"
 )
@@ -60,10 +61,12 @@
 	TalkSet struct { // other routers may be talked to
 		Settings membership.Settings
 		Shares   *shares.Settings // and budgets divided with them; nil: not
+		News     *news.Settings   // and told what is out; nil: not
 	}
 	TalkCame struct { // one of this fleet has said something; it has been checked whole
 		Message *membership.Message
 		Shares  *shares.Message // that came with it; nil: nothing
+		News    *news.Message   // the same
 	}
 	OrderLate struct { // a dispatch was not written, since that was no longer allowed
 		Connection uint64
@@ -138,6 +141,7 @@
 		To      string
 		Message membership.Message
 		Shares  *shares.Message // nil: nothing of that
+		News    *news.Message   // the same
 	}
 	TellMembers struct{ Members Members } // how the fleet stands, for whoever asks
 	Log         struct {
--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -35,6 +35,9 @@
 	if e.Shares != nil {
 		r.setShares(e.Shares, shares.ID{Name: e.Settings.Self.Name, Start: e.Settings.Self.Start})
 	}
+	if e.News != nil {
+		r.setNews(e.News, e.Settings.Self.Name)
+	}
 }
 
 func (r *Router) talkCame(e TalkCame) {
@@ -47,6 +50,9 @@
 	if e.Shares != nil {
 		r.partsCame(e.Shares)
 	}
+	if e.News != nil && r.news != nil {
+		r.newsCame(e.Message.From.Address, e.News)
+	}
 }
 
 func (r *Router) membersDue() {
@@ -59,7 +65,7 @@
 	m := r.members
 	for _, s := range m.machine.Sends() {
 		m.said++
-		r.do(Talk{s.To, s.Message, nil})
+		r.do(Talk{s.To, s.Message, nil, nil})
 	}
 	for _, n := range m.machine.Notes() {
 		level := Info
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -80,6 +80,7 @@
 
 	members *members // of its fleet; nil: there is no talk
 	parts   *parts   // of what the fleet divides; nil: the division is fixed
+	news    *told    // of what the others have out; nil: nobody tells
 
 	stopAt, killAt float64 // 0: not stopping
 	exited         bool
@@ -318,6 +319,8 @@
 	case membersTold:
 		r.tellMembers()
 	case partsDue: // the end of this turn looks after it
+	case newsDue:
+		r.newsDue()
 	case stopCheck:
 	}
 }
--- a/internal/router/shares.go
+++ b/internal/router/shares.go
@@ -76,7 +76,7 @@
 	for _, s := range p.machine.Sends() {
 		r.members.said++
 		said := s.Message
-		r.do(Talk{s.To, r.members.machine.Envelope(), &said})
+		r.do(Talk{s.To, r.members.machine.Envelope(), &said, nil})
 	}
 	for _, n := range p.machine.Notes() {
 		level := Info
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -142,7 +142,7 @@
 func talkOf(name string, f *fleet.Settings) *loop.Talk {
 	s := f.Members
 	s.Self = membership.ID{Name: name, Start: uint64(time.Now().UnixMicro())}
-	return &loop.Talk{Fleet: f.Name, Settings: s, Networks: f.Networks, Via: f.Via}
+	return &loop.Talk{Fleet: f.Name, Settings: s, Networks: f.Networks, Via: f.Via, News: f.News}
 }
 
 // routesOf gives the routes that settings have. A file without any takes away those that were there.
--- /dev/null
+++ b/internal/talk/news.go
@@ -0,0 +1,26 @@
+package talk
+
+import "pitchfield/internal/news"
+
+func newsOut(m *news.Message) *News {
+	out := &News{Down: m.Kind == news.Down, Routers: uint32(m.Routers), Age: float32(m.Age)}
+	for _, l := range m.Loads {
+		out.Loads = append(out.Loads, &Load{Engine: l.Engine, Start: l.Start, Threads: float32(l.Threads), Memory: float32(l.Memory)})
+	}
+	return out
+}
+
+// newsIn takes in what a sender says; whether its figures can be is for who uses them.
+func newsIn(p *News) (*news.Message, bool) {
+	if p == nil || len(p.Loads) > news.MostLoads || p.Routers == 0 || p.Routers > 1<<24 || !(p.Age >= 0 && p.Age < mostTime) {
+		return nil, false
+	}
+	m := &news.Message{Kind: news.Up, Routers: int(p.Routers), Age: float64(p.Age)}
+	if p.Down {
+		m.Kind = news.Down
+	}
+	for _, l := range p.Loads {
+		m.Loads = append(m.Loads, news.Load{Of: news.Of{Engine: l.Engine, Start: l.Start}, Threads: float64(l.Threads), Memory: float64(l.Memory)})
+	}
+	return m, true
+}
--- a/internal/talk/talk.go
+++ b/internal/talk/talk.go
@@ -12,6 +12,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"pitchfield/internal/membership"
+	"pitchfield/internal/news"
 	"pitchfield/internal/shares"
 )
 
@@ -44,7 +45,8 @@
 // Message is one datagram. Each tells who sent it and of his view, whatever else it is for.
 type Message struct {
 	membership.Message
-	Shares *shares.Message // nil: it is of membership alone
+	Shares *shares.Message // nil: it is not of shares,
+	News   *news.Message   // nor of what its sender sees
 }
 
 // Encode words a message. The error tells of one that is too long, which is a fault of ours.
@@ -60,6 +62,9 @@
 	if m.Shares != nil {
 		p.Kind, p.Shares = Kind_SHARES, sharesOut(m.Shares)
 	}
+	if m.News != nil {
+		p.Kind, p.News = Kind_NEWS, newsOut(m.News)
+	}
 	out, err := proto.Marshal(&p)
 	if err != nil {
 		return nil, fmt.Errorf("talk: %w", err)
@@ -120,6 +125,11 @@
 			return wrong("what it says of shares")
 		}
 	}
+	if p.Kind == Kind_NEWS {
+		if m.News, known = newsIn(p.News); !known {
+			return wrong("what it says of news")
+		}
+	}
 	return m, nil
 }
 
--- a/internal/torture/talk.go
+++ b/internal/torture/talk.go
@@ -67,6 +67,9 @@
 	}
 	text := fmt.Sprintf("[status]\nlisten = %q\n\n[fleet]\nname = \"torture\"\nlisten = %q\nseeds = [%s]\nnetworks = [\"127.0.0.0/8\"]\nevery = %q\naccept-loss-after = %q\nvia = [%s]\n",
 		r.statusAddress(), r.talkAddress(), strings.Join(seeds, ", "), talkEvery, acceptLoss, strings.Join(via, ", "))
+	if r.program == r.Program { // an older build may not know it
+		text += "load = \"100ms\"\n"
+	}
 	if r.Shares {
 		text += r.shares()
 	}
