--- a/internal/explore/explore_test.go
+++ b/internal/explore/explore_test.go
@@ -11,6 +11,7 @@
 func TestNoOrderOfWhatMayHappenPassesTheWhole(t *testing.T) {
 	for _, w := range Worlds() {
 		t.Run(w.Name, func(t *testing.T) {
+			t.Parallel()
 			f := Explore(w.New, 30, 4000)
 			require.Empty(t, f.Broken, Story(w.New, f.Way, Word))
 			assert.Greater(t, f.States, 2000)
