--- a/internal/torture/talk.go
+++ b/internal/torture/talk.go
@@ -96,8 +96,8 @@
 
 // What all routers divide beside the work of cold engines: tight enough to be wanted all the time.
 const (
-	freeOfAll  = 12
-	freeWindow = 4 * time.Second
+	freeOfAll  = 4
+	freeWindow = time.Second
 	reportsOut = 6
 )
 
