Shares: what keepers are told fits a datagram whatever routers are called

Cause: sixteen credits with their holders' names are 2.3 kB where names are of 64 bytes; such a packet is refused when it is worded, no keeper would ever have known, and nothing would have been given. Change: seven on a message. Seen: the largest of each kind is worded and read (TestTheLargestMessagesFitADatagram).

--- a/internal/shares/records.go
+++ b/internal/shares/records.go
@@ -13,6 +13,9 @@
 // run for so short a time that the books stay closed as before. It is what Viewstamped Replication does without disks (Oki and
 // Liskov, PODC 1988; Liskov and Cowling, 2012), with leases in place of a log.
 
+// MostRecords are on one message: each has its holder's name, and the longest names have to fit a datagram.
+const MostRecords = 7
+
 // record is what a keeper knows of a credit.
 type record struct {
 	amount      units
@@ -169,7 +172,7 @@
 func (m *Machine) park(sends []Send) {
 	b, k := &m.bursar, m.keeper
 	for len(sends) > 0 {
-		some := sends[:min(len(sends), mostItems)]
+		some := sends[:min(len(sends), MostRecords)]
 		sends = sends[len(some):]
 		b.numbers++
 		p := &parked{number: b.numbers, by: []string{m.Listen}, again: m.now + m.Again}
@@ -222,7 +225,7 @@
 // lessens tells keepers of what counts for less now. Where that is lost it counts for longer.
 func (m *Machine) lessens(items []Item) {
 	for len(items) > 0 {
-		some := items[:min(len(items), mostItems)]
+		some := items[:min(len(items), MostRecords)]
 		items = items[len(some):]
 		for n := range some {
 			m.keeper.keep(m.now, &some[n])
@@ -248,9 +251,9 @@
 		return
 	}
 	items := k.known(m.now)
-	n := max((len(items)+mostItems-1)/mostItems, 1)
+	n := max((len(items)+MostRecords-1)/MostRecords, 1)
 	for page := range n {
-		some := items[min(page*mostItems, len(items)):min((page+1)*mostItems, len(items))]
+		some := items[min(page*MostRecords, len(items)):min((page+1)*MostRecords, len(items))]
 		m.send(message.At, Message{Kind: Recalled, To: message.From.Start, Number: message.Number, Page: uint32(page), Pages: uint32(n), Up: k.up(m.now), Items: some})
 	}
 }
--- a/internal/talk/talk_test.go
+++ b/internal/talk/talk_test.go
@@ -13,6 +13,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"pitchfield/internal/membership"
+	"pitchfield/internal/news"
 	"pitchfield/internal/shares"
 )
 
@@ -90,6 +91,30 @@
 	assert.Zero(t, got.Shares.Kind)
 }
 
+// What a keeper is told has its holder's name: seven of them fit a datagram whatever routers are called, sixteen did not.
+func TestTheLargestMessagesFitADatagram(t *testing.T) {
+	name, address, large := strings.Repeat("n", 64), "255.255.255.255:65535", uint64(math.MaxUint64)
+	from := membership.Member{ID: membership.ID{Name: name, Start: large}, Address: address, Incarnation: math.MaxUint32}
+	envelope := membership.Message{Kind: membership.Tell, From: from, View: large, Count: 1 << 20}
+	item := shares.Item{Number: large, Try: math.MaxUint32, Key: shares.Key{Kind: shares.Concurrency, Of: math.MaxUint32, At: large}, Amount: 1.1, Whole: 1.1, Rest: 1.1,
+		Lease: 1.1, Of: shares.ID{Name: name, Start: large}}
+	said := shares.Message{Kind: shares.Recalled, From: shares.ID{Name: name, Start: large}, At: address, To: large, Roll: math.MaxUint32, Number: large, Bursar: address,
+		Page: 4000, Pages: 4001, Up: 1.1}
+	for range shares.MostRecords {
+		said.Items = append(said.Items, item)
+	}
+	all := news.Message{Kind: news.Down, Routers: 1 << 20, Age: 0.1}
+	for range news.MostLoads {
+		all.Loads = append(all.Loads, news.Load{Of: news.Of{Engine: math.MaxUint32, Start: large}, Threads: 1.1, Memory: 1.1})
+	}
+	for _, m := range []Message{{Message: envelope, Shares: &said}, {Message: envelope, News: &all}} {
+		data, err := Encode(strings.Repeat("f", 64), &m)
+		require.NoError(t, err)
+		_, err = Decode(strings.Repeat("f", 64), data)
+		require.NoError(t, err)
+	}
+}
+
 func TestWhatANewerVersionAddsIsPassedOver(t *testing.T) {
 	data, err := Encode("fleet", whole())
 	require.NoError(t, err)
