Membership's fuzz target: all asks may end at once beside a probe; inputs counted

Cause: the target held one turn to 64 packets. The machine is bounded as it was meant to be; the target's bound now says by what.

--- a/internal/membership/fuzz_test.go
+++ b/internal/membership/fuzz_test.go
@@ -51,7 +51,8 @@
 				}
 				m.Heard(now, message)
 			}
-			require.LessOrEqual(t, len(m.Sends()), 64)
+			// All that goes on for others may end at once, beside a probe, those that help with it, a word to its target and a call.
+			require.LessOrEqual(t, len(m.Sends()), mostAsks+s.Helpers+3)
 			v := m.View()
 			require.Len(t, v.Members, m.Count())
 			require.GreaterOrEqual(t, v.Index, 0)
