Stand-ins: rigs tell a router the list at its start, engines listen on what is there

Need: the platform's configuration holds the list of the start; our rigs' held none, so a router behind a cut from the name service began without. Engines on a listener that is there are for connections that come up late.

Change: Names.Known, EngineOn, Cut; rig.Configuration takes what is known.

--- a/example/fleet/main.go
+++ b/example/fleet/main.go
@@ -92,7 +92,7 @@
 
 func (f *fleet) start(i int) error {
 	address := func(base int) string { return fmt.Sprintf("127.0.0.1:%d", base+i) }
-	text, err := rig.Configuration(rig.Groups, fmt.Sprintf("n%d", i+1), address(7410), fmt.Sprintf("%016x", i+1), 64, 512, f.names.LocalAddr().String())
+	text, err := rig.Configuration(rig.Groups, fmt.Sprintf("n%d", i+1), address(7410), fmt.Sprintf("%016x", i+1), 64, 512, f.names.LocalAddr().String(), f.names.Known())
 	if err != nil {
 		return err
 	}
--- a/internal/rig/world.go
+++ b/internal/rig/world.go
@@ -142,7 +142,7 @@
 	if descriptors == 0 {
 		descriptors = 1024
 	}
-	text, err := Configuration(Groups, "n1", w.Frames, "8c1f30d27a5be964", memory, descriptors, w.Names.LocalAddr().String())
+	text, err := Configuration(Groups, "n1", w.Frames, "8c1f30d27a5be964", memory, descriptors, w.Names.LocalAddr().String(), w.Names.Known())
 	if err != nil {
 		return t, fmt.Errorf("configuration: %w", err)
 	}
@@ -191,11 +191,11 @@
 }
 
 // Configuration is what the platform would tell a router of such a world, as JSON. Settings are the platform's; memory
-// is in MB; names is the name service's address.
-func Configuration(settings, name, listen, seed string, memory, descriptors int, names string) ([]byte, error) {
+// is in MB; names is the name service's address, and known the list that it has at the start.
+func Configuration(settings, name, listen, seed string, memory, descriptors int, names string, known any) ([]byte, error) {
 	return json.Marshal(map[string]any{"name": name, "listen": listen, "seed": seed,
 		"limits":   map[string]any{"cores": 1, "memory_mb": memory, "sockets": descriptors},
-		"resolver": names, "known": map[string]any{"pos": 0, "entries": []any{}},
+		"resolver": names, "known": known,
 		"settings": json.RawMessage(settings)})
 }
 
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -34,6 +34,11 @@
 	if err != nil {
 		return nil, fmt.Errorf("engine: %w", err)
 	}
+	return EngineOn(l, answer), nil
+}
+
+// EngineOn takes connections from a listener that is there.
+func EngineOn(l net.Listener, answer func(Request) [][]string) *Engine {
 	e := &Engine{Listener: l, Answer: answer}
 	if answer == nil {
 		e.Answer = Toy
@@ -50,7 +55,7 @@
 			go e.serve(c)
 		}
 	}()
-	return e, nil
+	return e
 }
 
 // Toy answers each fetch with a result of two pages after some milliseconds.
@@ -82,6 +87,11 @@
 // Drop closes all its connections, and it takes no more.
 func (e *Engine) Drop() {
 	e.Close()
+	e.Cut()
+}
+
+// Cut closes all its connections.
+func (e *Engine) Cut() {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	for _, c := range e.conns {
@@ -201,6 +211,23 @@
 	n.hosts, n.serial, n.drains = hosts, serial, drains
 }
 
+// Known gives the list as a router's configuration tells it at a start: one event that holds all of it.
+func (n *Names) Known() any {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	instances := []map[string]any{}
+	for _, h := range n.hosts {
+		state := "Ready"
+		if h.Draining {
+			state = "Terminating"
+		}
+		instances = append(instances, map[string]any{"instanceId": h.ID, "hostPort": h.Address, "zone": h.Zone,
+			"machineType": h.Kind, "cell": 0, "lifecycle": state, "weight": 1, "startedAtMs": h.Started})
+	}
+	return map[string]any{"pos": n.serial, "entries": []any{map[string]any{"pos": n.serial,
+		"hosts": map[string]any{"generation": 1, "reset": true, "instances": instances}}}}
+}
+
 // Drains gives when a router was first told that an engine drains, by the engine's id.
 func (n *Names) Drains() map[string]time.Time {
 	n.mutex.Lock()
--- a/internal/torture/router.go
+++ b/internal/torture/router.go
@@ -103,7 +103,7 @@
 // configure writes what the router is told; the change of the file is whole or not at all, as an operator's would be.
 func (r *router) configure() error {
 	told := fmt.Sprintf(settings, r.Routers, r.index)
-	text, err := rig.Configuration(told, r.name, r.address, fmt.Sprintf("%08x%08x", uint32(r.Seed), r.number+16*r.starts()), r.limits[0], r.limits[1], r.asks)
+	text, err := rig.Configuration(told, r.name, r.address, fmt.Sprintf("%08x%08x", uint32(r.Seed), r.number+16*r.starts()), r.limits[0], r.limits[1], r.asks, r.names.Known())
 	if err == nil {
 		if err = os.WriteFile(r.config+".new", text, 0o600); err == nil {
 			err = os.Rename(r.config+".new", r.config)
