Stop: what is told reaches clients, what is held goes back, nothing is taken at the end

The module gives what is open at the end its last answer (brain.Last): pushed back where nothing of it may have run or it may run again, errored else. After Exit events change nothing. The end waits for half frames (2 s at most) and for unread answers until 0.1 s before the kill.

Stories that looked for Exit{} look for the exit itself, since it says by when now.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -446,6 +446,16 @@
 	return Decision{Kind: Fail, Batch: b}
 }
 
+// Last answers a batch for good while its router ends. What is out may have run; what never was, or may run
+// again, goes back: an error for it would lose what another router still has the time for.
+func (r *Router) Last(b *Batch) Decision {
+	if b.Out > 0 && b.Group.Effect != Repeatable {
+		r.Left(b)
+		return Decision{Kind: Fail, Batch: b}
+	}
+	return r.giveUp(b)
+}
+
 func (r *Router) again(b *Batch) bool {
 	// A budget of its route that is spent ends the batch at once: others would wait behind it, and it would come
 	// back into the same trouble. It hurts where the trouble ends the next moment.
--- a/cmd/pitchfield/main_test.go
+++ b/cmd/pitchfield/main_test.go
@@ -256,6 +256,34 @@
 	assert.NoError(t, p.Wait(), p.log.String())
 }
 
+// A second signal, and one to read the settings again, come between the stop and the last answer.
+func TestASecondStopChangesNothing(t *testing.T) {
+	hold := make(chan struct{})
+	e := engine(t, func(r standin.Request) [][]string {
+		if r[0] == "fetch" {
+			<-hold
+		}
+		return standin.Toy(r)
+	})
+	p := launch(t, e)
+	c := p.client()
+	require.NoError(t, c.Ask(1, "once", "00000000000000f1", left, "SELECT 1"))
+	require.Eventually(t, func() bool { return len(e.Seen("fetch")) == 1 }, patience, 10*time.Millisecond)
+	require.NoError(t, p.Process.Signal(syscall.SIGTERM))
+	a, err := c.Next(patience)
+	require.NoError(t, err)
+	require.Equal(t, uint8(30), a.Type)
+	require.NoError(t, p.Process.Signal(syscall.SIGTERM))
+	require.NoError(t, p.Process.Signal(syscall.SIGHUP))
+	late := p.client()
+	require.NoError(t, late.Ask(1, "lookup", "00000000000000f2", left, "SELECT 1"))
+	require.Eventually(t, func() bool { return len(e.Seen("fetch")) == 2 }, patience, 10*time.Millisecond, "it still takes what comes")
+	close(hold)
+	assert.Equal(t, uint8(0), p.answers(late, 1)[1].Code)
+	assert.Equal(t, uint8(0), p.answers(c, 1)[1].Code)
+	assert.NoError(t, p.Wait(), p.log.String())
+}
+
 func TestAnEngineThatIsGoneGetsNothingNew(t *testing.T) { nothingNew(t, false) }
 
 func TestAnEngineThatDrainsGetsNothingNew(t *testing.T) { nothingNew(t, true) }
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -94,6 +94,7 @@
 
 	opening bool // it is in OnOpen
 	half    bool // part of a message is there, and the router knows
+	parting bool // we have ended it, and read on until it closes
 }
 
 // Loop is the event handler; all but Stop runs on the event loop.
@@ -135,6 +136,9 @@
 	timer   *time.Timer
 	ended   bool
 	endBy   time.Time
+
+	partings []*parting // the oldest first
+	partSet  bool       // they are looked after soon
 }
 
 // Run serves until the context ends and all that was taken is answered. A configuration that was read again takes
@@ -266,6 +270,9 @@
 		close(l.there)
 	}
 	p, made := c.Context().(*peer)
+	if l.ended && !made {
+		return nil, gnet.Close
+	}
 	if !made {
 		l.numbers++
 		p = &peer{kind: toClient, number: l.numbers}
@@ -337,6 +344,10 @@
 // gone: a connection has ended without our asking for it, if it is still there.
 func (l *Loop) gone(p *peer, err error) {
 	l.drop(p)
+	if p.parting {
+		l.forgetPart(p)
+		return
+	}
 	end := router.ClosedByPeer
 	if err != nil && !errors.Is(err, io.EOF) {
 		end = router.ResetByPeer
@@ -361,13 +372,18 @@
 	delete(l.waiting, p)
 }
 
-// end closes a connection of ours; what it would tell of that is known already.
-func (l *Loop) end(p *peer) {
+// end closes a connection of ours; what it would tell of that is known already. A client that does not read, or takes too
+// much memory, gets no time to part.
+func (l *Loop) end(p *peer, why router.End) {
 	switch p.kind {
 	case toEngine:
 		delete(l.engines, p.number)
 	case toClient:
 		delete(l.clients, p.number)
+		if !p.opening && why != router.Unread && why != router.NoMemory {
+			l.part(p, time.Now().Add(flushTime))
+			return
+		}
 	}
 	if p.held != nil {
 		p.held.close()
@@ -377,9 +393,7 @@
 	if p.opening { // gnet is not done with it; OnOpen closes it
 		return
 	}
-	if err := l.turn.Close(p.on); err != nil {
-		l.log.Debug("close", zap.Error(err))
-	}
+	l.close(p)
 }
 
 // OnTraffic reads all there is.
@@ -396,11 +410,13 @@
 	if err != nil || len(data) == 0 {
 		return gnet.None
 	}
-	if p.kind == toNames {
+	switch {
+	case p.parting:
+	case p.kind == toNames:
 		l.namesSaid(data)
-		return gnet.None
+	default:
+		l.came(p, data)
 	}
-	l.came(p, data)
 	return gnet.None
 }
 
@@ -495,16 +511,16 @@
 
 // broken ends a connection that is of no more use.
 func (l *Loop) broken(p *peer, end router.End) {
-	if p.kind == toClient && end == router.BadInput {
-		p.client.Tell(l.out, traffic.Complaint{Why: "what you sent can't be read"})
-		l.write(p, l.out)
+	if p.parting {
+		l.close(p)
+		return
 	}
 	if !l.here(p) {
 		return
 	}
 	l.log.Warn("connection ended", zap.Uint64("connection", p.number), zap.Uint8("kind", uint8(p.kind)),
 		zap.Stringer("end", end), zap.Int("unread", p.unread), zap.Int("held", l.pool.Used()*buffers.Size))
-	l.end(p)
+	l.end(p, end)
 	if p.kind == toEngine {
 		l.post(router.EngineEnded{Connection: p.number, End: end})
 	} else {
@@ -579,11 +595,11 @@
 		e.Chain.Release()
 	case router.CloseClient:
 		if p := l.clients[e.Client]; p != nil {
-			l.end(p)
+			l.end(p, e.End)
 		}
 	case router.CloseEngine:
 		if p := l.engines[e.Connection]; p != nil {
-			l.end(p)
+			l.end(p, e.End)
 		}
 	case router.Dial:
 		go l.dial(e)
@@ -611,7 +627,11 @@
 	case router.Log:
 		l.print(e)
 	case router.Exit:
-		l.ended, l.endBy = true, time.Now().Add(flushTime)
+		l.ended, l.endBy = true, time.Now().Add(max(time.Duration((e.By-clock())*float64(time.Second)), flushTime))
+		for _, p := range l.clients {
+			delete(l.clients, p.number)
+			l.part(p, l.endBy)
+		}
 	}
 }
 
@@ -634,12 +654,12 @@
 	l.pool.Keep = share(freeShare, l.config) / buffers.Size
 }
 
-// flushed ends the loop once all is written, or nobody reads it.
+// flushed ends the loop once all clients have parted, or nobody reads what waits for them.
 func (l *Loop) flushed() error {
-	if len(l.waiting) == 0 || time.Now().After(l.endBy) {
+	if len(l.partings) == 0 || time.Now().After(l.endBy.Add(partTime)) {
 		return errorx.ErrEngineShutdown
 	}
-	time.AfterFunc(10*time.Millisecond, func() { l.execute(l.turnEnded) })
+	l.partSoon()
 	return nil
 }
 
--- /dev/null
+++ b/internal/router/crossings_test.go
@@ -0,0 +1,96 @@
+package router
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"pitchfield/internal/directory"
+)
+
+// What comes between two lines: each story brings an event in the moment in which it does most harm.
+
+// list brings a whole list as the answer to the last question.
+func (h *host) list(serial uint32, engines ...directory.Engine) {
+	h.tell(ListAnswered{h.queries[len(h.queries)-1], directory.List{Serial: serial, Engines: engines}})
+}
+
+func (h *host) exited() bool {
+	for _, what := range h.did {
+		if _, is := what.(Exit); is {
+			return true
+		}
+	}
+	return false
+}
+
+func (h *host) count(match func(Effect) bool) (n int) {
+	for _, what := range h.did {
+		if match(what) {
+			n++
+		}
+	}
+	return n
+}
+
+// What was never sent is harmless to send again, and another router may have the time for it. The error that it got
+// promises nothing, and the module went on sending it while the last bytes were written.
+func TestWhatIsHeldAtTheEndGoesBackAndIsNotSentOnLate(t *testing.T) {
+	h := startWith(t, strings.ReplaceAll(grades, `"on-time-ms":4000,"deadline-ms":9000`, `"on-time-ms":20000,"deadline-ms":30000`)) // no engine at all
+	stream, _ := h.batch("upload", 30000)
+	h.tell(StopAsked{})
+	h.pass(3.3)
+	require.Empty(t, h.answers, "the module has not given it up yet")
+	h.pass(0.2)
+	assert.Equal(t, refusal+"\x01\x01w\x03\x00500", h.answers[stream])
+	require.True(t, h.exited())
+	h.list(2, east("s-1"))
+	h.pass(0.3)
+	assert.Empty(t, h.dials, "its client has its final answer")
+}
+
+func TestWhatIsOutAtTheEndGoesBackOnlyIfItMayRunAgain(t *testing.T) {
+	h := start(t, east("s-1"))
+	once, _ := h.batch("upload", 9000)
+	again, _ := h.batch("lookup", 8000)
+	h.up()
+	h.tell(StopAsked{})
+	h.pass(3.5)
+	assert.Equal(t, failure, h.answers[once], "it may have run")
+	assert.True(t, strings.HasPrefix(h.answers[again], refusal), "%q", h.answers[again])
+	assert.True(t, h.exited())
+}
+
+func TestWhatComesOnceTheEndIsDecidedIsNotTaken(t *testing.T) {
+	h := start(t, east("s-1"))
+	h.tell(StopAsked{})
+	h.pass(0.8)
+	require.True(t, h.exited())
+	h.batch("lookup", 2000)
+	h.pass(0.3)
+	assert.Empty(t, h.dials)
+	assert.Empty(t, h.answers, "its client comes again elsewhere: it crossed the shutdown")
+}
+
+func TestAStopWaitsForTheOtherHalfOfAFrame(t *testing.T) {
+	h := start(t, east("s-1"))
+	h.tell(StopAsked{})
+	h.pass(0.6)
+	h.tell(ClientBegan{1})
+	h.pass(1)
+	assert.False(t, h.exited(), "somebody is writing")
+	stream, id := h.batch("lookup", 1000)
+	h.say(h.up(), id, "DONE", "sheets=1", "a\t2\t3\n")
+	assert.Equal(t, ok+"a\t2\t3\n", h.answers[stream])
+	assert.True(t, h.exited(), "with the last answer")
+}
+
+func TestAStopDoesNotWaitForHalfAFrameForGood(t *testing.T) {
+	h := start(t, east("s-1"))
+	h.tell(StopAsked{})
+	h.tell(ClientBegan{1})
+	h.pass(2.3)
+	assert.True(t, h.exited())
+}
--- a/internal/router/events.go
+++ b/internal/router/events.go
@@ -149,7 +149,7 @@
 		Text   string
 		Fields []any // names and values in turn
 	}
-	Exit struct{}
+	Exit struct{ By float64 } // once all that was told is written, or this time has come
 )
 
 // Level is how much a line of the log matters.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -28,7 +28,8 @@
 	quietStop   = 0.75 // after a stop is asked for, batches still come for so long
 	killAfter   = 0.7  // the process may be killed so long after the longest time limit,
 	killLimit   = 3.0  // which counts for no more than this
-	killEarly   = 0.3  // and all must be answered before
+	killEarly   = 0.3  // and all must be answered before,
+	lastBytes   = 0.1  // and written
 	lateTimer   = 0.02 // worth a line: the process or its machine stood still
 )
 
@@ -179,6 +180,9 @@
 	}
 	r.begun = true
 	r.now = max(r.now, now)
+	if r.exited { // all is answered: what comes while the last bytes are written is neither taken nor sent on
+		return r.out[:0]
+	}
 	r.brain.Clock(r.now)
 	switch e := what.(type) {
 	case ClientOpened:
--- a/internal/router/stop.go
+++ b/internal/router/stop.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 
+	"pitchfield/brain"
 	"pitchfield/internal/traffic"
 )
 
@@ -33,23 +34,37 @@
 	if r.stopAt == 0 || r.exited || r.now < r.stopAt+quietStop {
 		return
 	}
-	waiting := 0
+	waiting, half := 0, 0
 	for _, b := range r.batches {
 		if b.client != nil {
 			waiting++
 		}
 	}
-	if waiting > 0 && r.now < r.killAt {
+	for _, c := range r.clients {
+		// Its last bytes are on their way, and with the last of them it is ours. This covers slow writers and pieces;
+		// it hurts where somebody only ever sends half a frame: the stop takes two seconds longer.
+		if c.half > 0 && r.now-c.half < silentTime {
+			half++
+		}
+	}
+	if waiting+half > 0 && r.now < r.killAt {
 		return
 	}
-	// What the kill finds unanswered is lost. The module has had all the time there was; an error promises nothing,
-	// so it is true of any batch.
+	// What the kill finds unanswered is lost, and the module has had all the time there was.
 	last := slices.SortedFunc(maps.Values(r.batches), func(a, b *batch) int { return cmp.Compare(a.ID, b.ID) })
 	for _, b := range last {
-		r.reply(b, &traffic.Answer{Code: traffic.Errored, Why: "the router has stopped"})
+		if b.client == nil {
+			continue
+		}
+		if d := r.brain.Last(b.Batch); d.Kind == brain.PushBack {
+			r.answer(b, traffic.PushedBack, d.Wait)
+		} else {
+			b.why = "the router has stopped"
+			r.answer(b, traffic.Errored, 0)
+		}
 	}
 	r.exited = true
 	r.log(Info, "stopped", "unanswered", waiting)
 	r.leaveFleet()
-	r.do(Exit{})
+	r.do(Exit{By: r.killAt + killEarly - lastBytes})
 }
