Drain: what waits for a connection to an engine that drains goes elsewhere at once

Only engines that had left the list lost their dials (leaveAddress).

Change: dropDials, on a drain as on an end. What waited never ran, by the table of endings, and goes elsewhere.

Test: ADrainCrossesAConnectionThatComesUpLate (an engine whose machine drops the first packet), ADrainTakesBack...; both seen to fail with the mend taken out. What is out, and its pages, stay: ADrainLeaves...

--- a/internal/loop/crossings_test.go
+++ b/internal/loop/crossings_test.go
@@ -468,6 +468,23 @@
 	p.end()
 }
 
+// An engine begins to drain while a batch waits for a connection to it, and the connection comes up after that.
+func TestADrainCrossesAConnectionThatComesUpLate(t *testing.T) {
+	slow, other := newLate(t), engine(t, nil)
+	p := begin(t, 1024, nil, slow.listed("s-late"))
+	p.names.Set(slow.host("s-late"))
+	c := p.client()
+	require.NoError(t, c.Ask(1, "once", "00000000000000f1", left, "SELECT 1"))
+	p.said.await(t, "dispatch map", "s-late")
+	p.names.Set(draining(slow.host("s-late")), host("s-other", other))
+	p.said.await(t, "engine listed", "draining:true", "s-late")
+	slow.asked()
+	up := slow.release(nil)
+	assert.Equal(t, uint8(clients.Served), p.answer(c).Code)
+	assert.Empty(t, up.Seen("fetch"), "nothing new for an engine that drains")
+	assert.Len(t, other.Seen("fetch"), 1)
+}
+
 // deaf passes questions on to the name service, but none from those that it has fallen out with.
 type deaf struct {
 	net.PacketConn
--- a/internal/router/crossings_test.go
+++ b/internal/router/crossings_test.go
@@ -94,3 +94,31 @@
 	h.pass(2.3)
 	assert.True(t, h.exited())
 }
+
+// A connection may take longer to come up than a drain may still be sent to.
+func TestADrainTakesBackWhatWaitsForItsConnection(t *testing.T) {
+	h := start(t, east("s-1"))
+	stream, id := h.batch("upload", 5000)
+	require.Len(t, h.dials, 1)
+	leaving := east("s-1")
+	leaving.Draining = true
+	h.list(2, leaving, east("s-2"))
+	require.Len(t, h.dials, 2, "it never ran, and goes elsewhere at once")
+	h.tell(EngineOpened{h.dials[0].Connection})
+	assert.Zero(t, h.fetches(id))
+	h.say(h.up(), id, "DONE", "sheets=1", "a\t2\t3\n")
+	assert.Equal(t, ok+"a\t2\t3\n", h.answers[stream])
+	assert.Equal(t, 1, h.fetches(id))
+}
+
+func TestADrainLeavesWhatIsOutToBeAnswered(t *testing.T) {
+	h := start(t, east("s-1"))
+	stream, id := h.batch("upload", 5000)
+	c := h.up()
+	leaving := east("s-1")
+	leaving.Draining = true
+	h.list(2, leaving, east("s-2"))
+	h.say(c, id, "DONE", "sheets=2", "a\t2\t3\n")
+	h.say(c, id, "MORE", "sheet=1", "b\t2\t3\n")
+	assert.Equal(t, ok+"a\t2\t3\nb\t2\t3\n", h.answers[stream], "its pages are not new work")
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -441,6 +441,9 @@
 	for _, name := range slices.Sorted(maps.Keys(r.engines)) { // in one order, whatever a map makes of it
 		e := r.engines[name]
 		if there[e] || e.gone {
+			if e.Phase == brain.Draining {
+				r.dropDials(e)
+			}
 			continue
 		}
 		r.log(Info, "engine gone", "engine", name, "number", e.ID, "serial", list.Serial)
@@ -453,12 +456,19 @@
 // leaveAddress: what has left an address, or the list, gets nothing more there. A connection that is not up yet might
 // come up at its successor; what is open on one that is up may still be answered, and then it closes.
 func (r *Router) leaveAddress(e *engine) {
+	r.dropDials(e)
 	for _, c := range slices.Clone(e.pool.Connections) {
-		l := r.connections[c.Number]
-		if c.Left = true; !c.Up {
-			r.closeLine(l, LeftAddress)
-		} else {
-			r.rest(l)
+		c.Left = true
+		r.rest(r.connections[c.Number])
+	}
+}
+
+// dropDials ends what is not up yet. A connection may take longer to come up than a drain may still be sent to, and what waits
+// for it never ran: it goes elsewhere at once.
+func (r *Router) dropDials(e *engine) {
+	for _, c := range slices.Clone(e.pool.Connections) {
+		if !c.Up {
+			r.closeLine(r.connections[c.Number], LeftAddress)
 		}
 	}
 }
