Repeats: none is written once the engines have forgotten its first

Change: the module says by when a repeat must be on its way (Decision.By, Batch.repeatBy), the router keeps to it where it already keeps to the end of a part of the fleet's budget (dispatch.by, send). The log line is 'too late to be written' for both now.

Test: TheWindowEndsWhileARepeatWaitsForItsConnection, ARepeatIsNotWritten...; both seen to fail with the mend taken out.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -466,9 +466,12 @@
 // harmless: nothing ran, or a repeat may run so much later.
 func (r *Router) harmless(b *Batch, later float64) bool {
 	return b.bound == nil || b.Group.Effect == Repeatable ||
-		b.Group.Effect == Referenced && r.now+later < b.boundAt+b.Group.Window
+		b.Group.Effect == Referenced && r.now+later < b.repeatBy()
 }
 
+// repeatBy is when the engines forget the mark of one that may have run.
+func (b *Batch) repeatBy() float64 { return b.boundAt + b.Group.Window }
+
 func (r *Router) needs(b *Batch) float64 { // to be tried
 	return max(r.level.Early, 1)*(1+r.load*trustLoad)*b.alone + 3*sweepEvery
 }
@@ -812,6 +815,9 @@
 		wait = b.Route.Within(wait)
 	}
 	out := Decision{Kind: Dispatch, Batch: b, Engine: e, Number: d.number, Wait: wait}
+	if g.Effect == Referenced && b.bound != nil { // engines forget what ran, also while a connection comes up
+		out.By = b.repeatBy()
+	}
 	if !r.grants && !r.priorities {
 		return out
 	}
--- a/brain/types.go
+++ b/brain/types.go
@@ -194,6 +194,7 @@
 	Engine   *Engine
 	Number   int
 	Wait     float64
+	By       float64 // a dispatch must be on its way before; 0: whenever its connection is there
 	Memory   float64
 	Priority int
 	At       float64
--- a/internal/loop/crossings_test.go
+++ b/internal/loop/crossings_test.go
@@ -485,6 +485,27 @@
 	assert.Len(t, other.Seen("fetch"), 1)
 }
 
+// A repeat waits for its connection until the engines have forgotten its first.
+func TestTheWindowEndsWhileARepeatWaitsForItsConnection(t *testing.T) {
+	hold := make(chan struct{})
+	first, slow := engine(t, func(standin.Request) [][]string { <-hold; return nil }), newLate(t)
+	p := begin(t, 1024, nil, listed("s-first", first))
+	p.names.Set(host("s-first", first))
+	c := p.client()
+	fields := []string{"c", "load", "i", "00000000000000f1", "d", "6000", "k", strings.Repeat("a", clients.MarkDigits)}
+	_, err := c.Write(standin.Frame(clients.Ask, 1, fields, "SELECT 1"))
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return len(first.Seen("fetch")) == 1 }, patience, time.Millisecond)
+	p.names.Set(draining(host("s-first", first)), slow.host("s-late"))
+	p.said.await(t, "engine listed", "s-late")
+	first.Drop()
+	close(hold)
+	slow.asked()
+	up := slow.release(nil)
+	assert.Equal(t, uint8(clients.Failed), p.answer(c).Code, "it may have run")
+	assert.Empty(t, up.Seen("fetch"), "the engines have forgotten it")
+}
+
 // deaf passes questions on to the name service, but none from those that it has fallen out with.
 type deaf struct {
 	net.PacketConn
--- a/internal/router/crossings_test.go
+++ b/internal/router/crossings_test.go
@@ -122,3 +122,30 @@
 	h.say(c, id, "MORE", "sheet=1", "b\t2\t3\n")
 	assert.Equal(t, ok+"a\t2\t3\nb\t2\t3\n", h.answers[stream], "its pages are not new work")
 }
+
+const forgetful = `{"grades":[
+ {"name":"lookup","on-time-ms":800,"deadline-ms":4000,"idempotency":"idempotent","worth":1},
+ {"name":"load","on-time-ms":4000,"deadline-ms":9000,"idempotency":"deduplicated","group":"all","window-ms":150,"worth":6}],
+ "specifics":{"cores-by-kind":[8],"memory-by-kind-mb":[16000],"dop":[1,2]},"dcs":["east"],"flavors":["std"],
+ "limits":{"attempts-cap":3,"dial-timeout-ms":250,"idle-close-ms":15000,"multiplex":2,"retry-after":true,
+ "max-retry-after-ms":500},"feedback":{"how":"none"},"balancers":1,"index":0,"tick-ms":5}`
+
+// Engines drop repeats for a time that runs from the first dispatch: a repeat that waits for its connection past that would
+// run a second time.
+func TestARepeatIsNotWrittenOnceTheEnginesHaveForgottenItsFirst(t *testing.T) {
+	for _, late := range []float64{0.05, 0.2} {
+		h := startWith(t, forgetful, east("s-1"), east("s-2"))
+		const id = "00000000000000f1"
+		h.ask(1, 1, id, "c", "load", "d", "5000", "k", strings.Repeat("a", 32))
+		h.tell(EngineEnded{h.up(), ResetByPeer})
+		require.Len(t, h.dials, 2, "within the window it goes again")
+		h.pass(late)
+		h.up()
+		if late < 0.15 {
+			assert.Equal(t, 2, h.fetches(id))
+			continue
+		}
+		assert.Equal(t, 1, h.fetches(id))
+		assert.Equal(t, failure, h.answers[1], "it may have run, and can't be sent again")
+	}
+}
--- a/internal/router/dispatches.go
+++ b/internal/router/dispatches.go
@@ -26,7 +26,7 @@
 	sentAt       float64
 	wroteAt      float64
 	endAt        float64
-	by           float64 // it has to be written before: a part of the fleet's budget ends then
+	by           float64 // it has to be written before: engines forget its first then, or a part of the fleet's budget ends
 	written      bool
 	ended        bool
 	pages        []rows.Part // from the first on,
@@ -43,8 +43,12 @@
 	timer        *timer
 }
 
-func (r *Router) dispatch(b *batch, e *engine, no int, wait float64) {
+func (r *Router) dispatch(b *batch, e *engine, what brain.Decision) {
+	no, wait := what.Number, what.Wait
 	d := &dispatch{batch: b, no: no, engine: e, sentAt: r.now, endAt: r.now + wait, by: r.by(), work: -1, memory: -1}
+	if what.By > 0 {
+		d.by = min(d.by, what.By)
+	}
 	b.dispatches = append(b.dispatches, d)
 	e.out++
 	d.timer = r.timers.add(d.endAt, d)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -342,7 +342,7 @@
 			}
 		case brain.Dispatch:
 			if b := r.batches[d.Batch]; b != nil {
-				r.dispatch(b, r.byBrain[d.Engine], d.Number, d.Wait)
+				r.dispatch(b, r.byBrain[d.Engine], d)
 			}
 		case brain.PushBack:
 			r.answer(r.batches[d.Batch], traffic.PushedBack, d.Wait)
--- a/internal/router/shares.go
+++ b/internal/router/shares.go
@@ -126,7 +126,7 @@
 }
 
 func (r *Router) expired(d *dispatch) {
-	r.log(Warn, "its part has ended before it was written", "id", d.batch.id, "engine", d.engine.name, "late", r.now-d.by)
+	r.log(Warn, "too late to be written", "id", d.batch.id, "engine", d.engine.name, "late", r.now-d.by)
 	d.written = false
 	id, l := d.batch.id, d.line
 	r.ended(d, outcomes[Stopped].unwritten, nil)
