Clients that have gone: all that lies before their end is read at once, waiting work given back

Cause: a client that had sent 240 KB and closed got four dispatches after its close, since gnet reads 64 KB a turn and the module is asked once a turn; the log of the first form of the test had `dispatch ... ` between two reads of the same client, then `client gone with open batches`. By reading: what waited for its connection kept its room at the engine until that came up, and pages of a result that nobody wants were asked for again and again until the dispatch timed out (pagesDue).

Change: loop.drain reads a client until nothing is there, 1 MB at the most in a row; left withdraws what is not written and tells the engine that it has given enough pages.

Tests: AClientThatAsksAndGoesAtOnceGetsNothingSent, AClientGoesBetweenTwoPages, PagesThatNobodyWants..., seen to fail with the mend taken out. AClientGoesWhileItsBatchWaitsForAConnection holds what was so before; that its room is given back sooner has no test of its own.

--- a/internal/loop/crossings_test.go
+++ b/internal/loop/crossings_test.go
@@ -506,6 +506,42 @@
 	assert.Empty(t, up.Seen("fetch"), "the engines have forgotten it")
 }
 
+// A client goes while its batch waits for a connection, and the connection comes up after that.
+func TestAClientGoesWhileItsBatchWaitsForAConnection(t *testing.T) {
+	slow := newLate(t)
+	p := begin(t, 1024, nil, slow.listed("s-late"))
+	p.names.Set(slow.host("s-late"))
+	c, other := p.client(), p.client()
+	require.NoError(t, c.Ask(1, "lookup", "00000000000000f1", left, "SELECT 1"))
+	p.said.await(t, "dispatch map", "f1")
+	c.Close()
+	p.said.await(t, "left map", "f1")
+	slow.asked()
+	up := slow.release(nil)
+	require.NoError(t, other.Ask(1, "lookup", "00000000000000f2", left, "SELECT 2"))
+	assert.Equal(t, uint8(clients.Served), p.answer(other).Code)
+	for _, r := range up.Seen("fetch") {
+		assert.Equal(t, "00000000000000f2", r[1], "nothing is sent for who has gone")
+	}
+}
+
+// A client goes between the first page of its result and the next, which the engine never sends.
+func TestAClientGoesBetweenTwoPages(t *testing.T) {
+	e := engine(t, func(r standin.Request) [][]string {
+		if r[0] == "fetch" {
+			return [][]string{{r[1], "DONE", "sheets=2,toil=20,room=8", "a\tb\tc\n"}}
+		}
+		return nil
+	})
+	p := begin(t, 1024, nil, listed("s-0", e))
+	p.names.Set(host("s-0", e))
+	c := p.client()
+	require.NoError(t, c.Ask(1, "lookup", "00000000000000f1", left, "SELECT 1"))
+	require.Eventually(t, func() bool { return len(e.Seen("more")) > 0 }, patience, time.Millisecond)
+	c.Close()
+	require.Eventually(t, func() bool { return len(e.Seen("done")) == 1 }, patience, time.Millisecond, "the engine may forget them")
+}
+
 // deaf passes questions on to the name service, but none from those that it has fallen out with.
 type deaf struct {
 	net.PacketConn
@@ -602,6 +638,30 @@
 	p.end()
 }
 
+// A client asks for much and goes: its end lies behind frames that the router has not read yet.
+func TestAClientThatAsksAndGoesAtOnceGetsNothingSent(t *testing.T) {
+	e := engine(t, nil)
+	p := begin(t, 1024, nil, listed("s-0", e))
+	p.names.Set(host("s-0", e))
+	c, other := p.client(), p.client()
+	there, goOn := p.said.hold("f9 left:")
+	defer goOn()
+	require.NoError(t, other.Ask(1, "lookup", "00000000000000f9", left, "SELECT 1"))
+	<-there
+	for i := range uint32(4) { // more than is read at a time
+		require.NoError(t, c.Ask(i+1, "lookup", fmt.Sprintf("%016x", i+1), left, "SELECT 1 /* "+strings.Repeat("x", 60000)+" */"))
+	}
+	c.Close()
+	goOn()
+	assert.Equal(t, uint8(clients.Served), p.answer(other).Code)
+	p.said.await(t, "client gone with open batches", "open:4")
+	require.NoError(t, other.Ask(2, "lookup", "00000000000000fa", left, "SELECT 1"))
+	assert.Equal(t, uint8(clients.Served), p.answer(other).Code)
+	for _, r := range e.Seen("fetch") {
+		assert.Contains(t, []string{"00000000000000f9", "00000000000000fa"}, r[1], "nothing is sent for who has gone")
+	}
+}
+
 // An engine closes an idle connection in the moment in which a batch comes that may not be sent twice.
 func TestAnIdleConnectionIsClosedAsABatchComes(t *testing.T) {
 	e := engine(t, nil)
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -38,6 +38,8 @@
 	slowAt      = 128 << 10 // bytes unread at which the engine waits for a client that gets its result in parts
 	slowEvery   = 5 * time.Millisecond
 	namesAgain  = 50 * time.Millisecond
+	readSize    = 64 << 10
+	mostReads   = 16 // of one client in a row: the others wait
 )
 
 type kind uint8
@@ -137,6 +139,7 @@
 	ended   bool
 	endBy   time.Time
 
+	piece    []byte     // to read into
 	partings []*parting // the oldest first
 	partSet  bool       // they are looked after soon
 }
@@ -416,10 +419,37 @@
 		l.namesSaid(data)
 	default:
 		l.came(p, data)
+		if p.kind == toClient {
+			l.drain(p)
+		}
 	}
 	return gnet.None
 }
 
+// drain reads on until nothing is there. A client's end lies behind all that it has sent, and while that was read by pieces,
+// one a turn, batches of somebody who had gone already went out. It hurts a little: a read more for each message.
+func (l *Loop) drain(p *peer) {
+	if l.piece == nil {
+		l.piece = make([]byte, readSize)
+	}
+	for range mostReads {
+		if !l.here(p) {
+			return
+		}
+		n, err := syscall.Read(p.on.Fd(), l.piece)
+		switch {
+		case n > 0:
+			l.came(p, l.piece[:n])
+		case errors.Is(err, syscall.EINTR):
+		case errors.Is(err, syscall.EAGAIN):
+			return
+		default: // it has closed, or was reset
+			l.close(p)
+			return
+		}
+	}
+}
+
 // came takes in what a peer has sent.
 func (l *Loop) came(p *peer, data []byte) {
 	p.in.Write(data)
--- a/internal/router/batches.go
+++ b/internal/router/batches.go
@@ -217,6 +217,16 @@
 	r.log(Debug, "left", "id", b.id, "key", b.Key, "out", b.Out)
 	r.unwait(b)
 	r.brain.Left(b.Batch)
+	for _, d := range b.dispatches {
+		switch {
+		case d.ended:
+		case !d.written: // it waits for its connection: nothing is sent for who has gone, and what it takes is given back
+			r.giveUp(d, brain.Withdrawn)
+		case d.missing > 0: // it has run, and nobody wants the rest of its pages
+			r.order(d.line, traffic.Enough{ID: b.id})
+			r.finish(d, brain.Returned)
+		}
+	}
 	r.forget(b)
 }
 
--- a/internal/router/crossings_test.go
+++ b/internal/router/crossings_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"pitchfield/internal/directory"
+	"pitchfield/internal/traffic"
 )
 
 // What comes between two lines: each story brings an event in the moment in which it does most harm.
@@ -149,3 +150,18 @@
 		assert.Equal(t, failure, h.answers[1], "it may have run, and can't be sent again")
 	}
 }
+
+func TestPagesThatNobodyWantsAreGivenUp(t *testing.T) {
+	h := start(t, east("s-1"))
+	stream, id := h.batch("lookup", 3000)
+	c := h.up()
+	h.say(c, id, "DONE", "sheets=3", "a\t2\t3\n")
+	require.Equal(t, 2, strings.Count(h.written[c], "more\r\n"))
+	h.tell(ClientSaid{1, traffic.Leave{Stream: stream}})
+	assert.Contains(t, h.written[c], "done\r\n$16\r\n"+id)
+	h.say(c, id, "MORE", "sheet=1", "b\t2\t3\n")
+	h.pass(2)
+	assert.Equal(t, 2, strings.Count(h.written[c], "more\r\n"), "nothing is asked for again")
+	assert.Empty(t, h.answers)
+	assert.Zero(t, h.pool.Used())
+}
