Clients that send rubbish: what they had asked for before gets its final answer, an error

Cause, by reading: a frame that can't be read, a stream that is taken or one too many, and the third batch that can't be used end a connection, and batches that were taken on it before ended with no answer at all (refuseClient, loop.broken).

Change: refuseClient answers what is open with an error, in its order, then tells of the rubbish, then ends; bytes that are no frames come there too (ClientSpoilt). Answering them with results first was tried and taken back: it would serve such clients.

Test: RubbishCrossesAnAnswer, RubbishBehindABatch..., BadInputEndsAtMostItsConnection (one expectation more); seen to fail without.

--- a/internal/loop/crossings_test.go
+++ b/internal/loop/crossings_test.go
@@ -542,6 +542,27 @@
 	require.Eventually(t, func() bool { return len(e.Seen("done")) == 1 }, patience, time.Millisecond, "the engine may forget them")
 }
 
+// Bytes that can't be read come behind a batch that is out.
+func TestRubbishCrossesAnAnswer(t *testing.T) {
+	hold := make(chan struct{})
+	e := engine(t, func(r standin.Request) [][]string { <-hold; return standin.Toy(r) })
+	p := begin(t, 1024, nil, listed("s-0", e))
+	p.names.Set(host("s-0", e))
+	c := p.client()
+	require.NoError(t, c.Ask(1, "once", "00000000000000f1", left, "SELECT 1"))
+	require.Eventually(t, func() bool { return len(e.Seen("fetch")) == 1 }, patience, time.Millisecond)
+	c.Write([]byte("GET / HTTP/1.1\r\n\r\n")) //nolint:errcheck
+	for stream := range uint32(2) {
+		a := p.next(c)
+		assert.Equal(t, []any{uint8(clients.Answer), 1 - stream, uint8(clients.Failed)}, []any{a.Type, a.Stream, a.Code})
+	}
+	p.ends(c)
+	close(hold)
+	whole := p.client()
+	require.NoError(t, whole.Ask(1, "once", "00000000000000f2", left, "SELECT 1"))
+	assert.Equal(t, uint8(clients.Served), p.answer(whole).Code)
+}
+
 // deaf passes questions on to the name service, but none from those that it has fallen out with.
 type deaf struct {
 	net.PacketConn
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -548,6 +548,10 @@
 	if !l.here(p) {
 		return
 	}
+	if p.kind == toClient && end == router.BadInput {
+		l.post(router.ClientSpoilt{Client: p.number})
+		return
+	}
 	l.log.Warn("connection ended", zap.Uint64("connection", p.number), zap.Uint8("kind", uint8(p.kind)),
 		zap.Stringer("end", end), zap.Int("unread", p.unread), zap.Int("held", l.pool.Used()*buffers.Size))
 	l.end(p, end)
--- a/internal/router/clients.go
+++ b/internal/router/clients.go
@@ -153,23 +153,36 @@
 	r.clientEnded(c.number, end)
 }
 
-// refuseClient tells of an error that belongs to no batch and ends the connection.
+// refuseClient tells of an error that belongs to no batch and ends the connection. What was taken on it before gets its final
+// answer too, and no other than an error: whoever sends what can't be used is served nothing.
 func (r *Router) refuseClient(c *client, end End) {
-	r.do(TellClient{c.number, traffic.Complaint{Why: "the connection ends: " + end.String()}})
+	why := "the connection ends: " + end.String()
+	for _, b := range c.inTurn() {
+		b.why = why
+		r.brain.Left(b.Batch)
+		r.answer(b, traffic.Errored, 0)
+	}
+	r.do(TellClient{c.number, traffic.Complaint{Why: why}})
 	r.closeClient(c, end)
 }
 
+// inTurn has what is open there in the order in which it was taken.
+func (c *client) inTurn() []*batch {
+	open := make([]*batch, 0, len(c.open))
+	for _, b := range c.open {
+		open = append(open, b)
+	}
+	slices.SortFunc(open, func(a, b *batch) int { return cmp.Compare(a.ID, b.ID) })
+	return open
+}
+
 func (r *Router) clientEnded(number uint64, end End) {
 	c := r.clients[number]
 	if c == nil {
 		return
 	}
 	delete(r.clients, number)
-	open := make([]*batch, 0, len(c.open))
-	for _, b := range c.open {
-		open = append(open, b)
-	}
-	slices.SortFunc(open, func(a, b *batch) int { return cmp.Compare(a.ID, b.ID) })
+	open := c.inTurn()
 	if len(open) > 0 {
 		ids := make([]string, 0, mostNamed)
 		for _, b := range open[:min(len(open), mostNamed)] {
--- a/internal/router/crossings_test.go
+++ b/internal/router/crossings_test.go
@@ -7,7 +7,9 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"pitchfield/internal/clients"
 	"pitchfield/internal/directory"
+	"pitchfield/internal/standin"
 	"pitchfield/internal/traffic"
 )
 
@@ -165,3 +167,28 @@
 	assert.Empty(t, h.answers)
 	assert.Zero(t, h.pool.Used())
 }
+
+// Bytes that can't be read end a connection, and what was asked for on it before was taken. It gets its final answer, which is
+// never a result: such clients are served nothing.
+func TestRubbishBehindABatchLeavesItNotUnanswered(t *testing.T) {
+	for name, rubbish := range map[string]func(h *host) Event{
+		"bytes that are no frame":  func(*host) Event { return ClientSpoilt{2} },
+		"a frame of no known type": func(h *host) Event { return h.said(2, standin.Frame(77, 5, nil, "")) },
+		"a stream that is taken": func(h *host) Event {
+			return h.said(2, standin.Frame(clients.Ask, 1, []string{"c", "upload", "i", "00000000000000bb", "d", "900"}, "SELECT 1"))
+		},
+	} {
+		h := start(t, east("s-1"))
+		h.tell(h.opened(2))
+		h.ask(2, 1, "00000000000000aa", "c", "upload", "d", "3000")
+		c := h.up()
+		h.tell(rubbish(h))
+		assert.Equal(t, failure, h.answers[1], name)
+		assert.Equal(t, failure, h.answers[0], name)
+		assert.NotContains(t, h.clients, uint64(2), name)
+		h.say(c, "00000000000000aa", "DONE", "sheets=1", "a\t2\t3\n")
+		assert.Equal(t, failure, h.answers[1], name)
+		assert.Empty(t, h.batches, name)
+		assert.Zero(t, h.pool.Used(), name)
+	}
+}
--- a/internal/router/events.go
+++ b/internal/router/events.go
@@ -26,6 +26,7 @@
 		Said   traffic.Said
 	}
 	ClientBegan  struct{ Client uint64 } // part of a message is there, after whole ones or none
+	ClientSpoilt struct{ Client uint64 } // nothing after what it has sent can be read
 	ClientUnread struct {                // what it has not read has passed a bound, or is below it again
 		Client uint64
 		Full   bool
@@ -81,6 +82,7 @@
 func (ClientOpened) event() {}
 func (ClientSaid) event()   {}
 func (ClientBegan) event()  {}
+func (ClientSpoilt) event() {}
 func (ClientUnread) event() {}
 func (ClientEnded) event()  {}
 func (EngineOpened) event() {}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -193,6 +193,11 @@
 		if c := r.clients[e.Client]; c != nil {
 			c.half = r.now
 		}
+	case ClientSpoilt:
+		if c := r.clients[e.Client]; c != nil {
+			r.log(Warn, "client sent what can't be read", "client", e.Client, "open", len(c.open))
+			r.refuseClient(c, BadInput)
+		}
 	case ClientUnread:
 		r.unread(e.Client, e.Full)
 	case ClientEnded:
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -165,6 +165,7 @@
 	delete(h.answers, 0)
 	h.tell(h.said(3, taken))
 	assert.Equal(t, failure, h.answers[0], "a stream that is taken")
+	assert.Equal(t, failure, h.answers[9], "what was taken on it is answered")
 	assert.NotContains(t, h.clients, uint64(3))
 	stream, id = h.batch("lookup", 2000)
 	c := h.up()
