List: a name service that has fallen silent is asked from another port after a second

Cause, by reading: the question went from one connected socket for as long as the process lived. Where the way back for that port was lost for good (a watch that falls silent), no drain was ever seen again; only an error on the socket brought another.

Change: after a second without an answer to any question another socket asks, the old one stays until that is there (askAt), one log line for each change of mode. A service that is down costs a socket a second; descriptors that are full keep the old one.

Test: AListThatFallsSilentForGoodIsSeenFromAnotherPort (a name service that never again hears the first port), seen to fail with the mend taken out; IdleClientsFillTheDescriptorsWhileTheNameServiceIsDown; ASilentNameServiceIsAskedFromAnotherPort.

--- a/internal/loop/crossings_test.go
+++ b/internal/loop/crossings_test.go
@@ -622,6 +622,68 @@
 	}
 }
 
+// The watch on the list falls silent for good: the way back for its port is gone. A drain that comes then must be seen.
+func TestAListThatFallsSilentForGoodIsSeenFromAnotherPort(t *testing.T) {
+	old, fresh := engine(t, nil), engine(t, nil)
+	var d *deaf
+	p := begin(t, 1024, func(names string) string {
+		d = newDeaf(t, names)
+		return d.LocalAddr().String()
+	})
+	p.names.Set(host("s-old", old))
+	p.said.await(t, "engine listed", "s-old")
+	d.fallOut()
+	p.names.Set(draining(host("s-old", old)), host("s-new", fresh))
+	p.said.await(t, "engine listed", "s-new")
+	c := p.client()
+	require.NoError(t, c.Ask(1, "lookup", "00000000000000f1", left, "SELECT 1"))
+	assert.Equal(t, uint8(clients.Served), p.answer(c).Code)
+	assert.Empty(t, old.Seen("fetch"))
+}
+
+// Idle clients take all the descriptors that clients may have while the name service says nothing. Engines, the name service and
+// whoever asks keep theirs, and a drain that comes with the name service's return is seen.
+func TestIdleClientsFillTheDescriptorsWhileTheNameServiceIsDown(t *testing.T) {
+	old, fresh := engine(t, nil), engine(t, nil)
+	var d *deaf
+	p := begin(t, 160, func(names string) string {
+		d = newDeaf(t, names)
+		return d.LocalAddr().String()
+	}, listed("s-old", old))
+	d.fallSilent(true)
+	var idle []net.Conn
+	for range 160 {
+		c, err := net.Dial("tcp", p.address)
+		require.NoError(t, err)
+		idle = append(idle, c)
+	}
+	defer func() {
+		for _, c := range idle {
+			c.Close()
+		}
+	}()
+	ask := func(id string) uint8 { // as clients do that may be shut unread at the bound
+		for {
+			c := p.client()
+			if c.Ask(1, "lookup", id, left, "SELECT 1") != nil {
+				continue
+			}
+			if a, err := c.Next(patience); err == nil {
+				return a.Code
+			}
+		}
+	}
+	assert.Equal(t, uint8(clients.Served), ask("00000000000000f1"))
+	p.said.await(t, "name service is silent")
+	p.names.Set() // the number of the start
+	p.names.Set(draining(host("s-old", old)), host("s-new", fresh))
+	d.fallSilent(false)
+	p.said.await(t, "engine listed", "s-new")
+	before := len(old.Seen("fetch"))
+	assert.Equal(t, uint8(clients.Served), ask("00000000000000f2"))
+	assert.Len(t, old.Seen("fetch"), before)
+}
+
 // A batch waits in the queue of connections that are not accepted yet as the router is told to stop.
 func TestABatchInTheAcceptQueueAtTheStopIsAnswered(t *testing.T) {
 	e := engine(t, nil)
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -287,7 +287,7 @@
 		if p.number != l.moves.Load() {
 			return nil, gnet.Close
 		}
-		l.names = p
+		l.leaveNames(p)
 		if l.levels != nil { // the first time: what comes later is a reload
 			l.post(*l.levels)
 			l.levels = nil
@@ -669,19 +669,25 @@
 	}
 }
 
-// askAt moves to another name service. The socket to the old one goes: what it might still say is not wanted.
+// askAt moves to another name service: the socket to the old one goes, what it might still say is not wanted. For the same
+// one the old socket stays until a new one is there: descriptors may be short, and it may yet be heard.
 func (l *Loop) askAt(resolver string) {
-	old := l.names
-	l.names, l.resolver = nil, resolver
 	number := l.moves.Add(1)
-	if old != nil {
-		if err := l.turn.Close(old.on); err != nil {
-			l.log.Debug("close", zap.Error(err))
-		}
+	if resolver != l.resolver {
+		l.resolver = resolver
+		l.leaveNames(nil)
 	}
 	go l.joinNames(resolver, number)
 }
 
+// leaveNames takes another socket to the name service, or none.
+func (l *Loop) leaveNames(next *peer) {
+	old := l.names
+	if l.names = next; old != nil {
+		l.close(old)
+	}
+}
+
 func (l *Loop) bound() {
 	l.mostUnread, l.mostHeld = share(unreadShare, l.config), share(wholeShare, l.config)
 	l.peerUnread = min(peerUnread, share(peerShare, l.config))
--- a/internal/router/crossings_test.go
+++ b/internal/router/crossings_test.go
@@ -192,3 +192,28 @@
 		assert.Zero(t, h.pool.Used(), name)
 	}
 }
+
+// A socket whose answers have ceased for good, where a new one would be heard.
+func TestASilentNameServiceIsAskedFromAnotherPort(t *testing.T) {
+	h := start(t, east("s-1"))
+	moves := func() int {
+		return h.count(func(e Effect) bool { at, is := e.(AskAt); return is && at.Resolver == "127.0.0.1:2" })
+	}
+	lines := func(text string) int {
+		return h.count(func(e Effect) bool { l, is := e.(Log); return is && strings.Contains(l.Text, text) })
+	}
+	h.pass(0.9)
+	assert.Zero(t, moves(), "an answer or two may be lost")
+	h.pass(2.3)
+	assert.Equal(t, 3, moves())
+	assert.Equal(t, 1, lines("silent"))
+	h.list(2, east("s-2"))
+	assert.Equal(t, 1, lines("heard again"))
+	assert.Contains(t, h.engines, "s-2")
+	before := moves()
+	for range 30 {
+		h.pass(0.1)
+		h.list(2, east("s-2"))
+	}
+	assert.Equal(t, before, moves())
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -22,6 +22,7 @@
 const (
 	askEvery    = 0.1  // the list counts as told when it is sent, and a drain has to be known soon after
 	askAgain    = 0.04 // an answer may be lost
+	askAnew     = 1.0  // without any answer for so long, the next question goes from another port
 	lateQueries = 16   // questions back that an answer may still come for
 	keepGone    = 60.0 // what is known of an engine that has left the list is kept for so long
 	idleEarly   = 0.8  // of the time after which engines close what is idle, lest a dispatch meets that close
@@ -73,6 +74,8 @@
 	ids16     *rand.Rand
 	askedAt   float64
 	asks      asking
+	heardAt   float64 // the last answer to a question of ours, or when another port was taken
+	silent    bool    // none has come for askAnew
 
 	level          level         // of reduced service
 	routes         *limits.Table // the operator's limits; nil: none
@@ -132,6 +135,7 @@
 	r.bound()
 	r.brain.Clock(now)
 	r.listed(c.Known)
+	r.heardAt = now
 	r.ask()
 	return r
 }
@@ -168,6 +172,7 @@
 	if c.Resolver != old.Resolver {
 		old.Resolver = c.Resolver
 		r.questions = nil // the old address may still answer them, with what it last knew
+		r.heardAt = r.now
 		r.do(AskAt{c.Resolver})
 	}
 	r.ask()
@@ -375,7 +380,18 @@
 
 // ask sends the next question. Its number is drawn: next to one another, an answer to somebody else's, or under a
 // number that is off by a little, would be taken for ours.
+//
+// What was connected long ago may lie in a hole, as where something between forgot the way back, while a new socket would
+// be heard. This covers a name service that restarted elsewhere behind its address, and a machine that lost its state. It
+// hurts little: a service that is down costs a socket a second.
 func (r *Router) ask() {
+	if r.now-r.heardAt > askAnew {
+		if r.heardAt = r.now; !r.silent {
+			r.silent = true
+			r.log(Warn, "name service is silent, asked from another port", "serial", r.serial)
+		}
+		r.do(AskAt{r.settings.Resolver})
+	}
 	id := uint16(r.ids16.Uint32())
 	r.questions = append(r.questions, id)
 	if len(r.questions) > lateQueries {
@@ -391,7 +407,14 @@
 // and is asked again. Lost, failed and cut ones never get here.
 func (r *Router) listAnswered(query uint16, list directory.List) {
 	i := slices.Index(r.questions, query)
-	if i < 0 || list.Serial < r.serial {
+	if i < 0 {
+		return
+	}
+	if r.heardAt = r.now; r.silent {
+		r.silent = false
+		r.log(Info, "name service is heard again", "serial", list.Serial)
+	}
+	if list.Serial < r.serial {
 		return
 	}
 	if i == len(r.questions)-1 { // the last one; late answers still count where they are newer
