Readiness: ready is said once there is a list of engines

Cause, by reading: a router whose configuration held no list said ready at once and could only turn away what came, while the front took it in. On the platform the configuration holds the list of the start, so nothing changes there, also with discovery down.

Change: ready asks for an engine on the list, whoever told it.

Test: ReadyIsSaidOnceThereIsAList, ReadyIsSaidOnceTheListIsThere; seen to fail without.

--- a/internal/loop/crossings_test.go
+++ b/internal/loop/crossings_test.go
@@ -684,6 +684,22 @@
 	assert.Len(t, old.Seen("fetch"), before)
 }
 
+// The list is not there yet: a client that asks at once is told to wait, not that all is well.
+func TestReadyIsSaidOnceTheListIsThere(t *testing.T) {
+	e := engine(t, nil)
+	p := begin(t, 1024, nil)
+	ready := func() uint8 {
+		c := p.client()
+		defer c.Close()
+		c.Write(standin.Frame(clients.AskReady, 1, []string{}, "")) //nolint:errcheck
+		return p.next(c).Code
+	}
+	assert.Equal(t, uint8(clients.Refused), ready())
+	p.names.Set(host("s-0", e))
+	p.said.await(t, "engine listed", "s-0")
+	assert.Equal(t, uint8(clients.Served), ready())
+}
+
 // A batch waits in the queue of connections that are not accepted yet as the router is told to stop.
 func TestABatchInTheAcceptQueueAtTheStopIsAnswered(t *testing.T) {
 	e := engine(t, nil)
--- a/internal/router/batches.go
+++ b/internal/router/batches.go
@@ -53,7 +53,7 @@
 			r.left(b)
 		}
 	case traffic.AskReady:
-		r.do(TellClient{number, traffic.Ready{Stream: said.Stream, Yes: r.stopAt == 0}})
+		r.do(TellClient{number, traffic.Ready{Stream: said.Stream, Yes: r.ready()}})
 	case traffic.Hello:
 		r.log(Debug, "client", "client", number, "speaks", c.speaks.Name, "who", said.Who)
 		if r.stopAt > 0 {
@@ -64,6 +64,19 @@
 	}
 }
 
+// ready: batches that come now can be sent on. Without a list they could only be turned away, where other routers may have one.
+func (r *Router) ready() bool {
+	if r.stopAt > 0 {
+		return false
+	}
+	for _, e := range r.engines {
+		if !e.gone {
+			return true
+		}
+	}
+	return false
+}
+
 // reject tells of an error that belongs to no batch and ends the connection.
 func (r *Router) reject(c *client, stream uint32) {
 	r.log(Warn, "client sent what can't be used", "client", c.number, "stream", stream)
--- a/internal/router/crossings_test.go
+++ b/internal/router/crossings_test.go
@@ -168,6 +168,23 @@
 	assert.Zero(t, h.pool.Used())
 }
 
+func TestReadyIsSaidOnceThereIsAList(t *testing.T) {
+	h := start(t)
+	ready := func() bool {
+		h.did = nil
+		h.tell(ClientSaid{1, traffic.AskReady{Stream: 7}})
+		return h.count(func(e Effect) bool {
+			told, is := e.(TellClient)
+			return is && told.What == traffic.Tell(traffic.Ready{Stream: 7, Yes: true})
+		}) == 1
+	}
+	assert.False(t, ready(), "all that came would be turned away")
+	h.list(2, east("s-1"))
+	assert.True(t, ready())
+	h.tell(StopAsked{})
+	assert.False(t, ready())
+}
+
 // Bytes that can't be read end a connection, and what was asked for on it before was taken. It gets its final answer, which is
 // never a result: such clients are served nothing.
 func TestRubbishBehindABatchLeavesItNotUnanswered(t *testing.T) {
@@ -217,3 +234,14 @@
 	}
 	assert.Equal(t, before, moves())
 }
+
+func TestWhatWaitsForItsConnectionIsGivenBackWhenItsClientGoes(t *testing.T) {
+	h := start(t, east("s-1"))
+	_, id := h.batch("upload", 5000)
+	require.Equal(t, 1, h.engines["s-1"].out)
+	h.tell(ClientEnded{1, ClosedByPeer})
+	assert.Zero(t, h.engines["s-1"].out, "its room is free at once")
+	assert.Empty(t, h.batches)
+	h.up()
+	assert.Zero(t, h.fetches(id))
+}
