--- /dev/null
+++ b/internal/loop/linger.go
@@ -0,0 +1,88 @@
+package loop
+
+import (
+	"slices"
+	"syscall"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+// Lingering close: a client's connection that the router ends is shut on our side first, once all that the client was told is written. What
+// the client still sends is read and dropped until it closes too, or a little time has passed. A plain close over bytes
+// that were not read yet resets the connection, and answers that had just been written go with it: a batch may cross any
+// close of ours. A batch that crosses the shutdown is not taken: its client sends it again on another connection.
+const (
+	lingerTime  = 100 * time.Millisecond // clients that have seen our shutdown have closed by then
+	lingerEvery = 10 * time.Millisecond
+	lingerShare = 32 // of this many descriptors one may linger; further ones are closed at once, the oldest first
+	lingerLeast = 4
+	lingerMost  = 16 // beside clients and engines there are 48 descriptors, and the process itself takes a dozen
+)
+
+// lingerer is what is left of a client's connection.
+type lingerer struct {
+	*peer
+	shut bool
+	by   time.Time // for what is not written yet, then for the client to close
+}
+
+// linger ends a client's connection. What is to be written has until a time; none of it is anybody's any more but the peer's.
+func (l *Loop) linger(p *peer, by time.Time) {
+	one := &lingerer{peer: p, by: by}
+	p.lingers = true
+	l.lingering = append(l.lingering, one)
+	l.shut(one)
+	for !l.ended && len(l.lingering) > min(max(l.config.Descriptors/lingerShare, lingerLeast), lingerMost) {
+		l.close(l.lingering[0].peer)
+	}
+	l.lingerSoon()
+}
+
+// shut ends our side, once nothing waits to be written.
+func (l *Loop) shut(one *lingerer) {
+	if one.shut || one.conn.OutboundBuffered() > 0 {
+		return
+	}
+	one.shut, one.by = true, time.Now().Add(lingerTime)
+	if err := syscall.Shutdown(one.on.Fd(), syscall.SHUT_WR); err != nil {
+		l.log.Debug("shutdown", zap.Error(err))
+		one.by = time.Now()
+	}
+}
+
+func (l *Loop) lingerSoon() {
+	if l.lingerSet || len(l.lingering) == 0 {
+		return
+	}
+	l.lingerSet = true
+	time.AfterFunc(lingerEvery, func() { l.execute(l.lingered) })
+}
+
+// lingered looks after the connections that linger; the last of them ends a router that has stopped.
+func (l *Loop) lingered() error {
+	l.lingerSet = false
+	now := time.Now()
+	for _, one := range slices.Clone(l.lingering) {
+		l.shut(one)
+		if !now.Before(one.by) {
+			l.close(one.peer)
+		}
+	}
+	if l.ended {
+		return l.flushed()
+	}
+	l.lingerSoon()
+	return nil
+}
+
+func (l *Loop) close(p *peer) {
+	if err := l.turn.Close(p.on); err != nil {
+		l.log.Debug("close", zap.Error(err))
+	}
+}
+
+// forgetLinger: the connection is closed, whoever closed it.
+func (l *Loop) forgetLinger(p *peer) {
+	l.lingering = slices.DeleteFunc(l.lingering, func(o *lingerer) bool { return o.peer == p })
+}
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -96,7 +96,7 @@
 
 	opening bool // it is in OnOpen
 	half    bool // part of a message is there, and the router knows
-	parting bool // we have ended it, and read on until it closes
+	lingers bool // we have ended it, and read on until it closes
 }
 
 // Loop is the event handler; all but Stop runs on the event loop.
@@ -139,9 +139,9 @@
 	ended   bool
 	endBy   time.Time
 
-	piece    []byte     // to read into
-	partings []*parting // the oldest first
-	partSet  bool       // they are looked after soon
+	piece     []byte      // to read into
+	lingering []*lingerer // the oldest first
+	lingerSet bool        // they are looked after soon
 }
 
 // Run serves until the context ends and all that was taken is answered. A configuration that was read again takes
@@ -347,8 +347,8 @@
 // gone: a connection has ended without our asking for it, if it is still there.
 func (l *Loop) gone(p *peer, err error) {
 	l.drop(p)
-	if p.parting {
-		l.forgetPart(p)
+	if p.lingers {
+		l.forgetLinger(p)
 		return
 	}
 	end := router.ClosedByPeer
@@ -376,7 +376,7 @@
 }
 
 // end closes a connection of ours; what it would tell of that is known already. A client that does not read, or takes too
-// much memory, gets no time to part.
+// much memory, does not linger.
 func (l *Loop) end(p *peer, why router.End) {
 	switch p.kind {
 	case toEngine:
@@ -384,7 +384,7 @@
 	case toClient:
 		delete(l.clients, p.number)
 		if !p.opening && why != router.Unread && why != router.NoMemory {
-			l.part(p, time.Now().Add(flushTime))
+			l.linger(p, time.Now().Add(flushTime))
 			return
 		}
 	}
@@ -414,7 +414,7 @@
 		return gnet.None
 	}
 	switch {
-	case p.parting:
+	case p.lingers:
 	case p.kind == toNames:
 		l.namesSaid(data)
 	default:
@@ -541,7 +541,7 @@
 
 // broken ends a connection that is of no more use.
 func (l *Loop) broken(p *peer, end router.End) {
-	if p.parting {
+	if p.lingers {
 		l.close(p)
 		return
 	}
@@ -664,7 +664,7 @@
 		l.ended, l.endBy = true, time.Now().Add(max(time.Duration((e.By-clock())*float64(time.Second)), flushTime))
 		for _, p := range l.clients {
 			delete(l.clients, p.number)
-			l.part(p, l.endBy)
+			l.linger(p, l.endBy)
 		}
 	}
 }
@@ -694,12 +694,12 @@
 	l.pool.Keep = share(freeShare, l.config) / buffers.Size
 }
 
-// flushed ends the loop once all clients have parted, or nobody reads what waits for them.
+// flushed ends the loop once no client lingers any more, or nobody reads what waits for them.
 func (l *Loop) flushed() error {
-	if len(l.partings) == 0 || time.Now().After(l.endBy.Add(partTime)) {
+	if len(l.lingering) == 0 || time.Now().After(l.endBy.Add(lingerTime)) {
 		return errorx.ErrEngineShutdown
 	}
-	l.partSoon()
+	l.lingerSoon()
 	return nil
 }
 
