Settings: what can't be used is refused with its name, keys that are unknown are told once

Unknown words for a class's effect, its scope of repeats, full memory, discovery and reports were taken for the strictest, figures below zero went into the module, and keys of later settings went by unseen.

What is absent still means what asks most care. Exit code and one line as before.

--- a/cmd/simhost/host.go
+++ b/cmd/simhost/host.go
@@ -27,6 +27,7 @@
 	touched []*router
 	reply   simwire.Reply
 	floats  []float64
+	told    bool // of settings that are not known
 }
 
 const (
@@ -96,6 +97,10 @@
 		if err != nil {
 			return err
 		}
+		if len(s.Unknown) > 0 && !h.told {
+			h.told = true
+			h.reply.Print(id, fmt.Sprintf("settings that are not known: %v", s.Unknown))
+		}
 		h.routers[id] = &router{id: id, brain: brain.New(s.Settings, seed, now), batches: map[uint64]*brain.Batch{},
 			engines: map[uint32]*brain.Engine{}, groups: s.Groups, clients: len(s.Clients), reports: s.Reports}
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -5,7 +5,9 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
+	"strings"
 
 	"pitchfield/brain"
 )
@@ -81,12 +83,112 @@
 	Tick float64 `json:"tick-ms"`
 }
 
+// The words that settings use; an empty one stands for what is not told, and means what asks most care.
 var (
-	effects   = map[string]brain.Effect{"idempotent": brain.Repeatable, "deduplicated": brain.Referenced}
-	scopes    = map[string]brain.Scope{"all": brain.WithinAll, "zone": brain.WithinZone}
-	shortages = map[string]brain.Shortage{"line_up": brain.LineUp, "cut": brain.CutGrant}
+	effects   = map[string]brain.Effect{"idempotent": brain.Repeatable, "deduplicated": brain.Referenced, "at_most_once": brain.OnceOnly, "": brain.OnceOnly}
+	scopes    = map[string]brain.Scope{"all": brain.WithinAll, "zone": brain.WithinZone, "cell": brain.WithinCell, "": brain.WithinCell}
+	shortages = map[string]brain.Shortage{"line_up": brain.LineUp, "cut": brain.CutGrant, "overcommit": brain.Overcommit, "": brain.Overcommit}
+	mustAsk   = map[string]bool{"push": false, "ask": true, "": true}
+	reporting = map[string]bool{"answers": true, "probe": true, "none": false, "": true}
 )
 
+// word finds a word; one that nobody knows can't be used, whatever it may mean.
+func word[T any](of map[string]T, word, what string, wrong *error) T {
+	v, ok := of[word]
+	if !ok && *wrong == nil {
+		*wrong = fmt.Errorf("settings: %s: %q can't be used", what, word)
+	}
+	return v
+}
+
+// figure is what a setting tells, with its name.
+type figure struct {
+	name  string
+	value float64
+}
+
+// usable: no figure of the settings is below zero, and a class has time to be answered in.
+func (o *options) usable() error {
+	figures := []figure{{"balancers", float64(o.Balancers)}, {"over-share-worth", o.OverShare}, {"tick-ms", o.Tick},
+		{"specifics.largest-share", o.Specifics.Largest}, {"specifics.progress-pace-ms", o.Specifics.Pace},
+		{"limits.max-retry-after-ms", o.Limits.MaxRetry}, {"limits.attempts-cap", float64(o.Limits.Attempts)},
+		{"limits.dial-timeout-ms", o.Limits.Dial}, {"limits.idle-close-ms", o.Limits.Idle},
+		{"limits.multiplex", float64(o.Limits.Multiplex)}, {"limits.most-held", float64(o.Limits.MostHeld)},
+		{"rules.cold-from", o.Rules.ColdFrom}, {"rules.cold-ms", o.Rules.Cold}, {"rules.fall-multiple", o.Rules.FallMultiple},
+		{"rules.fall-ms", o.Rules.Fall}, {"rules.settle-after-doubt-ms", o.Rules.Settle}, {"rules.extra-free", value(o.Rules.ExtraFree)},
+		{"rules.further-ratio", value(o.Rules.FurtherRatio)}, {"rules.look-back-ms", value(o.Rules.LookBack)}}
+	for i, g := range o.Grades {
+		at := fmt.Sprintf("grades[%d] (%s).", i, g.Name)
+		if g.OnTime == nil || g.Deadline == nil {
+			return fmt.Errorf("settings: grade %d lacks on-time-ms or deadline-ms", i)
+		}
+		if *g.Deadline == 0 {
+			return fmt.Errorf("settings: %sdeadline-ms: 0 can't be used", at)
+		}
+		figures = append(figures, figure{at + "on-time-ms", *g.OnTime}, figure{at + "deadline-ms", *g.Deadline},
+			figure{at + "aim-stretch", g.AimStretch}, figure{at + "window-ms", g.Window}, figure{at + "worth", g.Worth},
+			figure{at + "late-worth", g.LateWorth})
+	}
+	for i, c := range o.Customers {
+		figures = append(figures, figure{fmt.Sprintf("customers[%d].quota-per-s", i), c.Quota})
+	}
+	for _, f := range figures {
+		if f.value < 0 {
+			return fmt.Errorf("settings: %s: %v can't be used", f.name, f.value)
+		}
+	}
+	return nil
+}
+
+// known are the keys that the wire's page has, used here or not; later settings may have more.
+const known = `az balancers clients clients.marks-retry customers customers.name customers.quota-per-s customers.share dcs
+discovery feedback feedback.how feedback.names flavors goal goal.whole goal.worst-class goal.worst-tenant goal.worst-window
+grades grades.aim-stretch grades.by-arrival grades.deadline-ms grades.flavors-allowed grades.group grades.idempotency
+grades.late-worth grades.name grades.on-time-ms grades.runs-in grades.streaming grades.window-ms grades.worth index
+kind-of-service limits limits.attempts-cap limits.cancel limits.cpu-us-per-request limits.cpu-us-per-s limits.dial-timeout-ms
+limits.idle-close-ms limits.max-retry-after-ms limits.may-duplicate limits.may-probe limits.may-tell limits.most-held
+limits.multiplex limits.retry-after over-share-worth prices prices.connection prices.cross-zone prices.discovery
+prices.handshake prices.late-fail prices.moves prices.origin prices.peer prices.probe prices.waste rules rules.ask-within-ms
+rules.cold-from rules.cold-ms rules.extra-free rules.fall-ms rules.fall-multiple rules.further-ratio rules.grace-to-answer-ms
+rules.look-back-ms rules.settle-after-doubt-ms rules.stop-sending-within-ms specifics specifics.cores-by-kind
+specifics.cost-in-answers specifics.dop specifics.grants specifics.largest-share specifics.memory-by-kind-mb specifics.notes
+specifics.overbooked specifics.progress-pace-ms specifics.report-x0 specifics.report-x1 specifics.takes-priority
+specifics.writes-tables specifics.yields-to-loads stage tick-ms tiers weight-kind worth-by`
+
+// unknown gives the keys that are not known, each once, in order.
+func unknown(text []byte) []string {
+	var all any
+	if json.Unmarshal(text, &all) != nil {
+		return nil
+	}
+	met := map[string]bool{}
+	for _, k := range strings.Fields(known) {
+		met[k] = true
+	}
+	var out []string
+	var walk func(path string, what any)
+	walk = func(path string, what any) {
+		switch w := what.(type) {
+		case map[string]any:
+			for _, k := range slices.Sorted(maps.Keys(w)) {
+				at := strings.TrimPrefix(path+"."+k, ".")
+				if met[at] {
+					walk(at, w[k])
+				} else {
+					met[at] = true
+					out = append(out, at)
+				}
+			}
+		case []any:
+			for _, one := range w {
+				walk(path, one)
+			}
+		}
+	}
+	walk("", all)
+	return out
+}
+
 func at[T any](list []T, i int) (v T) {
 	if i >= 0 && i < len(list) {
 		v = list[i]
@@ -108,7 +210,8 @@
 	Zones, Kinds, Clients []string
 	DialTime, IdleTime    float64
 	Multiplex, MostHeld   int
-	Loads                 bool // engines report their load
+	Loads                 bool     // engines report their load
+	Unknown               []string // keys that nobody here knows; they were passed over
 }
 
 // Report fills the value with this name into a report; what nobody decides by is passed over.
@@ -141,13 +244,14 @@
 	if len(o.Grades) == 0 {
 		return Settings{}, errors.New("settings: no grades")
 	}
+	wrong := o.usable()
 	index := -1
 	if o.Index != nil {
 		index = *o.Index
 	}
 	s := brain.Settings{Routers: o.Balancers, Index: index, Zone: o.Zone, OverShare: o.OverShare,
 		LargestGrant: o.Specifics.Largest,
-		Shortage:     shortages[o.Specifics.Over], Grants: o.Specifics.Grants, Priorities: o.Specifics.Priority,
+		Shortage:     word(shortages, o.Specifics.Over, "specifics.overbooked", &wrong), Grants: o.Specifics.Grants, Priorities: o.Specifics.Priority,
 		NotesEvery: o.Specifics.Pace / 1000, MayCancel: o.Limits.Cancel, MayProbe: o.Limits.Probe,
 		MayCopy:        o.Limits.Duplicate,
 		MostDispatches: o.Limits.Attempts, ProbePrice: o.Prices.Probe, ColdFrom: o.Rules.ColdFrom,
@@ -155,17 +259,19 @@
 		SettleTime: o.Rules.Settle / 1000, FreeFurther: value(o.Rules.ExtraFree),
 		FurtherShare: value(o.Rules.FurtherRatio), FurtherWindow: value(o.Rules.LookBack) / 1000,
 		Rationed: o.Rules.ExtraFree != nil || o.Rules.FurtherRatio != nil || o.Rules.LookBack != nil,
-		MustAsk:  o.Discovery != "push", Tick: o.Tick / 1000}
+		MustAsk:  word(mustAsk, o.Discovery, "discovery", &wrong), Tick: o.Tick / 1000}
 	if o.Limits.RetryAfter {
 		s.LongestDefer = o.Limits.MaxRetry / 1000
 	}
 	for i, g := range o.Grades {
-		if g.OnTime == nil || g.Deadline == nil {
-			return Settings{}, fmt.Errorf("settings: grade %d lacks on-time-ms or deadline-ms", i)
+		name := fmt.Sprintf("grades[%d] (%s).", i, g.Name)
+		effect, scope := word(effects, g.Idempotency, name+"idempotency", &wrong), brain.WithinCell
+		if effect == brain.Referenced { // it says nothing of others
+			scope = word(scopes, g.Group, name+"group", &wrong)
 		}
-		s.Groups = append(s.Groups, &brain.ServiceGroup{Name: g.Name, Effect: effects[g.Idempotency],
-			Scope: scopes[g.Group], Window: g.Window / 1000, Goal: *g.OnTime / 1000, GoalStretch: g.AimStretch,
-			Limit: *g.Deadline / 1000, Utility: g.Worth, LateShare: g.LateWorth, Threads: at(o.Specifics.Dop, i),
+		s.Groups = append(s.Groups, &brain.ServiceGroup{Name: g.Name, Effect: effect, Scope: scope,
+			Window: g.Window / 1000, Goal: value(g.OnTime) / 1000, GoalStretch: g.AimStretch,
+			Limit: value(g.Deadline) / 1000, Utility: g.Worth, LateShare: g.LateWorth, Threads: at(o.Specifics.Dop, i),
 			Load: at(o.Specifics.Writes, i), Waits: at(o.Specifics.Yields, i), InOrder: g.ByArrival,
 			Zones: g.RunsIn, Kinds: g.Flavors})
 	}
@@ -179,7 +285,8 @@
 	}
 	return Settings{Settings: s, Reports: o.Feedback.Names, Zones: o.Zones, Kinds: o.Kinds, Clients: names,
 		DialTime: o.Limits.Dial / 1000, IdleTime: o.Limits.Idle / 1000, Multiplex: o.Limits.Multiplex,
-		MostHeld: o.Limits.MostHeld, Loads: o.Feedback.How != "none" && len(o.Feedback.Names) > 0}, nil
+		MostHeld: o.Limits.MostHeld, Unknown: unknown(text),
+		Loads: word(reporting, o.Feedback.How, "feedback.how", &wrong) && len(o.Feedback.Names) > 0}, wrong
 }
 
 // WithUnmarked adds a second group beside each referenced one, of the same name and once-only: what has no mark can't
