Names: a client that stops waiting cancels, as the field calls it

Need: Leave hid a standard concept; the members of a fleet leave, batches are cancelled. traffic.Cancel and the frame's type are renamed, nothing else changes; wire words stay.

--- a/internal/clients/frames.go
+++ b/internal/clients/frames.go
@@ -18,7 +18,7 @@
 const (
 	Ask      = 10 // a batch
 	Answer   = 11
-	Leave    = 12 // the client has stopped waiting
+	Cancel   = 12 // the client has stopped waiting
 	AskReady = 20
 	Ready    = 21
 	NoMore   = 30 // no new batch on this connection
@@ -88,8 +88,8 @@
 	}
 	in.Discard(size - leastSize)
 	switch head[4] {
-	case Leave:
-		return traffic.Leave{Stream: stream}, nil
+	case Cancel:
+		return traffic.Cancel{Stream: stream}, nil
 	case AskReady:
 		return traffic.AskReady{Stream: stream}, nil
 	}
--- a/internal/clients/frames_test.go
+++ b/internal/clients/frames_test.go
@@ -47,7 +47,7 @@
 		a.Batch.Text.Release()
 		a.Batch.Text = nil
 		assert.Equal(t, traffic.Batch{ID: "00000000000000f1", Group: "lookup", Left: 1.5, Memory: 96}, a.Batch)
-		assert.Equal(t, []traffic.Said{traffic.Leave{Stream: 7}, traffic.AskReady{Stream: 8}, traffic.Unusable{Stream: 4}}, four[1:])
+		assert.Equal(t, []traffic.Said{traffic.Cancel{Stream: 7}, traffic.AskReady{Stream: 8}, traffic.Unusable{Stream: 4}}, four[1:])
 	}
 	assert.Zero(t, pool.Used(), "all buffers are back")
 }
--- a/internal/emulator/sim.go
+++ b/internal/emulator/sim.go
@@ -750,7 +750,7 @@
 		if !b.over && b.node == n && n.life == life {
 			s.check.gone(b)
 			s.finish(b)
-			n.tell(router.ClientSaid{Client: b.client, Said: traffic.Leave{Stream: b.stream}})
+			n.tell(router.ClientSaid{Client: b.client, Said: traffic.Cancel{Stream: b.stream}})
 			delete(n.open, b.stream)
 		}
 	})
--- a/internal/router/batches.go
+++ b/internal/router/batches.go
@@ -44,7 +44,7 @@
 	switch said := what.(type) {
 	case *traffic.Ask:
 		r.take(c, said)
-	case traffic.Leave:
+	case traffic.Cancel:
 		if b := c.open[said.Stream]; b != nil {
 			if r.now > b.dueAt-lateAnswer {
 				r.log(Warn, "client left at its time limit", "id", b.id, "group", b.Group.Name, "left", b.dueAt-r.now,
--- a/internal/router/copies_test.go
+++ b/internal/router/copies_test.go
@@ -93,7 +93,7 @@
 	assert.Contains(t, h.written[lines[0]], "abort\r\n$16\r\n"+id)
 
 	h, stream, id, lines = twice(t)
-	h.tell(ClientSaid{1, traffic.Leave{Stream: stream}})
+	h.tell(ClientSaid{1, traffic.Cancel{Stream: stream}})
 	h.say(lines[0], id, "DONE", "sheets=1", "x\t2\t3\n")
 	assert.NotContains(t, h.answers, stream)
 	h.say(lines[1], id, "DONE", "sheets=1", "x\t2\t3\n")
--- a/internal/router/crossings_test.go
+++ b/internal/router/crossings_test.go
@@ -159,7 +159,7 @@
 	c := h.up()
 	h.say(c, id, "DONE", "sheets=3", "a\t2\t3\n")
 	require.Equal(t, 2, strings.Count(h.written[c], "more\r\n"))
-	h.tell(ClientSaid{1, traffic.Leave{Stream: stream}})
+	h.tell(ClientSaid{1, traffic.Cancel{Stream: stream}})
 	assert.Contains(t, h.written[c], "done\r\n$16\r\n"+id)
 	h.say(c, id, "MORE", "sheet=1", "b\t2\t3\n")
 	h.pass(2)
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -142,7 +142,7 @@
 	stream, id := h.batch("lookup", 2000)
 	_, other := h.batch("lookup", 2000)
 	c := h.up()
-	h.tell(ClientSaid{1, traffic.Leave{Stream: stream}})
+	h.tell(ClientSaid{1, traffic.Cancel{Stream: stream}})
 	h.say(c, id, "DONE", "sheets=4", "a\t2\t3\n")
 	assert.Contains(t, h.written[c], "done\r\n$16\r\n00000000000000f1", "nobody wants the pages")
 	h.tell(ClientEnded{1, ClosedByPeer})
--- a/internal/standin/tds.go
+++ b/internal/standin/tds.go
@@ -81,7 +81,7 @@
 				w.Batch.Text.Release()
 				c.stream = w.Stream
 				go c.play(s, run, w.Stream)
-			case traffic.Leave:
+			case traffic.Cancel:
 				c.stream = 0
 				if c.run != nil {
 					c.run.giveUp()
--- a/internal/tds/session.go
+++ b/internal/tds/session.go
@@ -148,7 +148,7 @@
 	}
 	var said traffic.Said = traffic.Stir{}
 	if s.open {
-		said = traffic.Leave{Stream: s.stream}
+		said = traffic.Cancel{Stream: s.stream}
 	}
 	s.open, s.reply = false, reply{}
 	s.out.buf = appendDone(s.out.buf, tokenDone, doneAttention, 0)
--- a/internal/tds/tds_test.go
+++ b/internal/tds/tds_test.go
@@ -374,7 +374,7 @@
 		if crossed {
 			assert.Equal(t, []traffic.Said{traffic.Stir{}}, k.said)
 		} else {
-			assert.Equal(t, []traffic.Said{traffic.Leave{Stream: a.Stream}}, k.said)
+			assert.Equal(t, []traffic.Said{traffic.Cancel{Stream: a.Stream}}, k.said)
 		}
 		k.tell(&traffic.Answer{Stream: a.Stream})
 		require.NoError(t, k.engErr, "nothing more is said of it")
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -42,7 +42,7 @@
 		Batch  Batch
 		Bad    error // it is whole, but what is in it can't be used
 	}
-	Leave    struct{ Stream uint32 } // it has stopped waiting
+	Cancel   struct{ Stream uint32 } // it has stopped waiting
 	AskReady struct{ Stream uint32 }
 	Unusable struct{ Stream uint32 } // it belongs to no batch and can't be used
 	Stir     struct{}                // it said what its protocol has answered by itself
@@ -56,7 +56,7 @@
 
 func (Hello) said()    {}
 func (*Ask) said()     {}
-func (Leave) said()    {}
+func (Cancel) said()   {}
 func (AskReady) said() {}
 func (Unusable) said() {}
 func (Stir) said()     {}
