--- a/internal/clients/frames_test.go
+++ b/internal/clients/frames_test.go
@@ -25,7 +25,7 @@
 	pool := &buffers.Pool{}
 	in := pool.Chain()
 	var got []traffic.Said
-	all := frame(Ask, 7, ask) + frame(Leave, 7, "") + frame(AskReady, 8, "\x00") + frame(99, 4, "?")
+	all := frame(Ask, 7, ask) + frame(Cancel, 7, "") + frame(AskReady, 8, "\x00") + frame(99, 4, "?")
 	for i := range len(all) {
 		in.WriteString(all[i : i+1])
 		f, err := Session{}.Read(in, nil)
