--- a/internal/loop/crossings_test.go
+++ b/internal/loop/crossings_test.go
@@ -792,3 +792,24 @@
 	}
 	assert.Equal(t, map[uint32]uint8{1: clients.Served, 2: clients.Served}, p.codes(c, 2))
 }
+
+// Nobody listens where the name service should be, from the start on: the list of the start serves, and a stop ends as ever.
+func TestTheListOfTheStartServesWhileNobodyListensAtTheNameService(t *testing.T) {
+	e := engine(t, nil)
+	p := begin(t, 1024, func(string) string {
+		nobody, err := net.ListenPacket("udp", "127.0.0.1:0")
+		require.NoError(t, err)
+		defer nobody.Close()
+		return nobody.LocalAddr().String()
+	}, listed("s-0", e))
+	c := p.client()
+	c.Write(standin.Frame(clients.AskReady, 1, []string{}, "")) //nolint:errcheck
+	assert.Equal(t, uint8(clients.Served), p.next(c).Code, "ready")
+	require.NoError(t, c.Ask(2, "once", "00000000000000f1", left, "SELECT 1"))
+	assert.Equal(t, uint8(clients.Served), p.answer(c).Code)
+	p.said.await(t, "name service is silent")
+	p.cancel()
+	assert.Equal(t, uint8(clients.NoMore), p.next(c).Type)
+	p.ends(c)
+	p.end()
+}
