Crossings: by when the end has to be is held by a test, that the loop keeps to it has none

Seen: with the loop's use of Exit.By taken out on a scratch copy no story failed, so the row claimed too much.

--- a/internal/router/crossings_test.go
+++ b/internal/router/crossings_test.go
@@ -245,3 +245,19 @@
 	h.up()
 	assert.Zero(t, h.fetches(id))
 }
+
+// What clients have not read yet has until just before the kill may come, however early all is answered.
+func TestTheEndLeavesUnreadAnswersTheTimeThatThereIs(t *testing.T) {
+	h := start(t, east("s-1")) // the longest time limit is 9 s, which counts as 3
+	h.tell(StopAsked{})
+	stopped := h.now
+	h.pass(1)
+	for _, what := range h.did {
+		if e, is := what.(Exit); is {
+			assert.Greater(t, e.By, stopped+3.5)
+			assert.Less(t, e.By, stopped+3.7, "the kill")
+			return
+		}
+	}
+	assert.Fail(t, "it has not ended")
+}
