Log: how the list of engines is followed, and when a request's bytes leave

Change: a line for each list that is taken, with the age of the one before, questions asked, answers to no open question and older lists since; the same fields on 'silent' and 'heard again', and a line for the first such answer of a spell. Engines that drain or are gone are listed with what is out and connected. At debug: dials, connections, when a request is written and how long it waited, the list's serial and age at each decision. A warning where a request is written behind bytes that its engine has not read. All of them stay.

Measured: tests of router and loop pass.

--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -94,6 +94,7 @@
 	unread int  // bytes that wait to be written
 	slow   bool // so many that the router was told
 
+	behind  bool // the log has told that it does not read
 	opening bool // it is in OnOpen
 	half    bool // part of a message is there, and the router knows
 	lingers bool // we have ended it, and read on until it closes
@@ -287,6 +288,7 @@
 		if p.number != l.moves.Load() {
 			return nil, gnet.Close
 		}
+		l.log.Debug("socket to the name service", zap.Stringer("from", c.LocalAddr()), zap.Stringer("to", c.RemoteAddr()))
 		l.leaveNames(p)
 		if l.levels != nil { // the first time: what comes later is a reload
 			l.post(*l.levels)
@@ -619,6 +621,7 @@
 				return
 			}
 			p.engine.Order(l.out, e.What)
+			l.noteBacklog(p, e.What)
 			l.write(p, l.out)
 		}
 	case router.HoldEngine:
@@ -669,6 +672,20 @@
 	}
 }
 
+// noteBacklog tells of an engine that does not read: what is written to it now leaves later than the router believes.
+func (l *Loop) noteBacklog(p *peer, what traffic.Order) {
+	waiting := p.conn.OutboundBuffered()
+	if waiting == 0 {
+		p.behind = false
+		return
+	}
+	if d, is := what.(*traffic.Dispatch); is && !p.behind {
+		p.behind = true
+		l.log.Warn("request waits behind bytes that its engine has not read", zap.String("id", d.ID),
+			zap.Uint64("connection", p.number), zap.Int("bytes", waiting))
+	}
+}
+
 // askAt moves to another name service: the socket to the old one goes, what it might still say is not wanted. For the same
 // one the old socket stays until a new one is there: descriptors may be short, and it may yet be heard.
 func (l *Loop) askAt(resolver string) {
--- a/internal/router/connections.go
+++ b/internal/router/connections.go
@@ -73,6 +73,7 @@
 	r.connections[l.Number] = l
 	within := r.settings.Settings.DialTime
 	l.timer = r.timers.add(r.now+within, l)
+	r.log(Debug, "dial", "engine", e.name, "address", e.address, "connection", l.Number)
 	r.do(Dial{l.Number, e.address, within, e.speaks})
 	return l, 0
 }
@@ -83,9 +84,11 @@
 func (r *Router) engineOpened(number uint64) {
 	l := r.connections[number]
 	if l == nil {
+		r.log(Debug, "connection came up that nobody waits for", "connection", number)
 		r.do(CloseEngine{number, ClosedIdle})
 		return
 	}
+	r.log(Debug, "connected", "engine", l.engine.name, "connection", number, "waiting", len(l.queue))
 	r.dialing--
 	r.timers.stop(l.timer)
 	l.Up, l.Heard = true, r.now
@@ -185,9 +188,7 @@
 	}
 	l.engine.pool.Remove(l.Connection)
 	open := l.Opens()
-	if len(open) > 0 {
-		r.log(Debug, "connection ended", "engine", l.engine.name, "end", end.String(), "open", len(open))
-	}
+	r.log(Debug, "connection ended", "engine", l.engine.name, "connection", l.Number, "end", end.String(), "open", len(open))
 	var dispatches []*dispatch
 	for _, what := range open {
 		switch w := what.(type) {
--- a/internal/router/dispatches.go
+++ b/internal/router/dispatches.go
@@ -52,7 +52,8 @@
 	b.dispatches = append(b.dispatches, d)
 	e.out++
 	d.timer = r.timers.add(d.endAt, d)
-	r.log(Debug, "dispatch", "id", b.id, "no", no, "engine", e.name, "wait", wait, "memory", b.memory)
+	r.log(Debug, "dispatch", "id", b.id, "no", no, "engine", e.name, "wait", wait, "memory", b.memory,
+		"serial", r.serial, "age", r.now-r.follow.takenAt)
 	l, end := r.pick(e, b.id)
 	if l == nil {
 		r.ended(d, outcomes[end].unwritten, nil)
@@ -76,6 +77,8 @@
 			return
 		}
 		w.written, w.wroteAt = true, r.now
+		r.log(Debug, "written", "id", w.batch.id, "no", w.no, "engine", w.engine.name, "address", w.engine.address,
+			"connection", l.Number, "waited", r.now-w.sentAt, "serial", r.serial)
 		r.do(OrderEngine{l.Number, w.order(r.now), w.by})
 	case *probe:
 		r.do(OrderEngine{l.Number, traffic.Probe{Tag: w.tag, Load: r.settings.Settings.Loads}, math.Inf(1)})
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -76,6 +76,7 @@
 	asks      asking
 	heardAt   float64 // the last answer to a question of ours, or when another port was taken
 	silent    bool    // none has come for askAnew
+	follow    followed
 
 	level          level         // of reduced service
 	routes         *limits.Table // the operator's limits; nil: none
@@ -388,7 +389,7 @@
 	if r.now-r.heardAt > askAnew {
 		if r.heardAt = r.now; !r.silent {
 			r.silent = true
-			r.log(Warn, "name service is silent, asked from another port", "serial", r.serial)
+			r.log(Warn, "name service is silent, asked from another port", r.follow.fields(r.now, "serial", r.serial)...)
 		}
 		r.do(AskAt{r.settings.Resolver})
 	}
@@ -398,6 +399,7 @@
 		r.questions = slices.Delete(r.questions, 0, 1)
 	}
 	r.askedAt = r.now
+	r.follow.asked++
 	r.do(AskList{id})
 	r.asks++
 	r.timers.add(r.now+askAgain, r.asks)
@@ -408,13 +410,20 @@
 func (r *Router) listAnswered(query uint16, list directory.List) {
 	i := slices.Index(r.questions, query)
 	if i < 0 {
+		if r.follow.unmatched++; r.follow.unmatched == 1 {
+			r.log(Warn, "answer of the name service to no open question", r.follow.fields(r.now, "query", query, "serial", list.Serial,
+				"known", r.serial)...)
+		}
 		return
 	}
 	if r.heardAt = r.now; r.silent {
 		r.silent = false
-		r.log(Info, "name service is heard again", "serial", list.Serial)
+		r.log(Info, "name service is heard again", r.follow.fields(r.now, "serial", list.Serial)...)
 	}
 	if list.Serial < r.serial {
+		if r.follow.stale++; r.follow.stale == 1 {
+			r.log(Info, "list is older than ours", r.follow.fields(r.now, "serial", list.Serial, "known", r.serial)...)
+		}
 		return
 	}
 	if i == len(r.questions)-1 { // the last one; late answers still count where they are newer
@@ -423,8 +432,10 @@
 	}
 	r.questions = slices.Delete(r.questions, i, i+1)
 	if list.Serial > r.serial {
+		r.log(Info, "list of engines taken", r.follow.fields(r.now, "serial", list.Serial, "known", r.serial, "engines", len(list.Engines))...)
 		r.listed(list)
 	}
+	r.follow = followed{takenAt: r.now}
 }
 
 func (r *Router) listed(list directory.List) {
@@ -456,7 +467,8 @@
 		}
 		if known.gone || known.Phase != phase || known.StartedAt != e.StartedAt {
 			r.log(Info, "engine listed", "engine", e.ID, "number", known.ID, "address", known.address,
-				"draining", e.Draining, "started", e.StartedAt, "serial", list.Serial)
+				"draining", e.Draining, "started", e.StartedAt, "serial", list.Serial, "out", known.out,
+				"connections", len(known.pool.Connections))
 		}
 		s := &r.settings.Settings
 		known.gone = false
@@ -474,7 +486,8 @@
 			}
 			continue
 		}
-		r.log(Info, "engine gone", "engine", name, "number", e.ID, "serial", list.Serial)
+		r.log(Info, "engine gone", "engine", name, "number", e.ID, "serial", list.Serial, "out", e.out,
+			"connections", len(e.pool.Connections))
 		e.gone, e.Phase = true, brain.Gone
 		r.leaveAddress(e)
 		r.timers.add(r.now+keepGone, e)
