Log: the socket to the name service by its number, gnet knows no local address there

Cause: LocalAddr of a datagram socket that joins the loop is nil, and the line held the logger's own panic text instead.

Change: the socket's number.

--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -288,7 +288,7 @@
 		if p.number != l.moves.Load() {
 			return nil, gnet.Close
 		}
-		l.log.Debug("socket to the name service", zap.Stringer("from", c.LocalAddr()), zap.Stringer("to", c.RemoteAddr()))
+		l.log.Debug("socket to the name service", zap.Uint64("number", p.number), zap.Stringer("to", c.RemoteAddr()))
 		l.leaveNames(p)
 		if l.levels != nil { // the first time: what comes later is a reload
 			l.post(*l.levels)
