Log: the longest steps of the loop, and requests written long after their decision

Change: a warning for a step of the loop over 50 ms and for a request written so long after the start of its step; the longest of both every ten seconds. No decision changes.

--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -135,6 +135,8 @@
 
 	queue   []router.Event
 	running bool
+	stepAt  time.Time // when the handling of the present event began
+	delays  delays
 	armed   bool
 	timer   *time.Timer
 	ended   bool
@@ -586,9 +588,11 @@
 		l.queue = l.queue[1:]
 		_, last := e.(router.TurnEnded)
 		more = !last
+		l.stepAt = time.Now()
 		for _, what := range l.router.Reduce(clock(), e) {
 			l.do(what)
 		}
+		l.stepTook(e, l.stepAt)
 	}
 	l.queue, l.running = l.queue[:0], false
 	if more && !l.armed && l.turn != nil {
@@ -623,6 +627,9 @@
 			p.engine.Order(l.out, e.What)
 			l.noteBacklog(p, e.What)
 			l.write(p, l.out)
+			if d, is := e.What.(*traffic.Dispatch); is {
+				l.orderWritten(d.ID, l.stepAt)
+			}
 		}
 	case router.HoldEngine:
 		if p := l.engines[e.Connection]; p != nil && p.held != nil {
