Standstill: what the name service has sent is read before requests are decided and written

Cause: a step of the loop may take long (the process stands still, or nobody reads its log). Tasks that wait run right after it, before the sockets are looked at again, so requests left by a list that an answer in the socket had overtaken. Forced by TestAStandstillDoesNotSendByAnOldList: the request reached the engine after the grace.

Change: the loop reads the name service's socket before each turn's decisions and before what waits for a new connection is sent; a request that is not written within half of the grace that the settings name (stop-sending-within-ms, known until now and not gone by) is taken back and decided anew.

Measured: the test passes three times of three, it failed before; tests of router, loop and settings pass.

--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -40,6 +40,7 @@
 	namesAgain  = 50 * time.Millisecond
 	readSize    = 64 << 10
 	mostReads   = 16 // of one client in a row: the others wait
+	mostAnswers = 64 // of the name service in a row
 )
 
 type kind uint8
@@ -331,6 +332,10 @@
 func (l *Loop) engineThere(p *peer) {
 	l.engines[p.number] = p
 	p.engine = p.speaks.New()
+	l.readNames() // requests that wait for this connection leave at once
+	if p.kind == toEngine && l.engines[p.number] != p {
+		return
+	}
 	up := p.engine.Open(l.owed)
 	l.write(p, l.owed)
 	if up && l.here(p) {
@@ -566,6 +571,28 @@
 	}
 }
 
+// readNames takes in what the name service has sent by now. A step of the loop may take long, as where the process stands
+// still, and the tasks behind it run before the sockets are looked at again: what is decided then would go by a list that
+// an answer in the socket has overtaken. It costs a read for each turn.
+func (l *Loop) readNames() {
+	if l.piece == nil {
+		l.piece = make([]byte, readSize)
+	}
+	for range mostAnswers {
+		if l.names == nil {
+			return
+		}
+		n, err := syscall.Read(l.names.on.Fd(), l.piece)
+		switch {
+		case n > 0:
+			l.namesSaid(l.piece[:n])
+		case errors.Is(err, syscall.EINTR):
+		default: // nothing is there, or the service can't be reached: the next question tells
+			return
+		}
+	}
+}
+
 func (l *Loop) namesSaid(data []byte) {
 	id, list, err := directory.Parse(data)
 	if err != nil {
@@ -603,6 +630,7 @@
 }
 
 func (l *Loop) turnEnded() error {
+	l.readNames() // while the next turn is still taken for armed: this one comes after it
 	l.armed = false
 	for p := range l.waiting {
 		l.count(p)
--- a/internal/router/dispatches.go
+++ b/internal/router/dispatches.go
@@ -12,6 +12,10 @@
 const (
 	mostResult = 48000 // bytes of a result that has to be whole
 	pageAgain  = 0.1   // a page is there and comes at once; it is asked for again after this, doubled each time
+	// decisionHolds is the part of a drain's grace in which a request that was decided must be written, else it is decided
+	// anew: the process may stand still in between, and a drain be told. The rest is for answers on their way.
+	decisionHolds = 0.5
+	leastHold     = 0.02 // seconds: a step takes a little, whatever the grace
 )
 
 // missingPages is due when pages that were asked for should have come.
@@ -79,7 +83,7 @@
 		w.written, w.wroteAt = true, r.now
 		r.log(Debug, "written", "id", w.batch.id, "no", w.no, "engine", w.engine.name, "address", w.engine.address,
 			"connection", l.Number, "waited", r.now-w.sentAt, "serial", r.serial)
-		r.do(OrderEngine{l.Number, w.order(r.now), w.by})
+		r.do(OrderEngine{l.Number, w.order(r.now), min(w.by, r.now+max(r.settings.Settings.DrainGrace*decisionHolds, leastHold))})
 	case *probe:
 		r.do(OrderEngine{l.Number, traffic.Probe{Tag: w.tag, Load: r.settings.Settings.Loads}, math.Inf(1)})
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -76,6 +76,7 @@
 		FallMultiple float64  `json:"fall-multiple"`
 		Fall         float64  `json:"fall-ms"`
 		Settle       float64  `json:"settle-after-doubt-ms"`
+		DrainGrace   *float64 `json:"stop-sending-within-ms"`
 		ExtraFree    *float64 `json:"extra-free"`
 		FurtherRatio *float64 `json:"further-ratio"`
 		LookBack     *float64 `json:"look-back-ms"`
@@ -115,7 +116,7 @@
 		{"limits.dial-timeout-ms", o.Limits.Dial}, {"limits.idle-close-ms", o.Limits.Idle},
 		{"limits.multiplex", float64(o.Limits.Multiplex)}, {"limits.most-held", float64(o.Limits.MostHeld)},
 		{"rules.cold-from", o.Rules.ColdFrom}, {"rules.cold-ms", o.Rules.Cold}, {"rules.fall-multiple", o.Rules.FallMultiple},
-		{"rules.fall-ms", o.Rules.Fall}, {"rules.settle-after-doubt-ms", o.Rules.Settle}, {"rules.extra-free", value(o.Rules.ExtraFree)},
+		{"rules.fall-ms", o.Rules.Fall}, {"rules.settle-after-doubt-ms", o.Rules.Settle}, {"rules.stop-sending-within-ms", value(o.Rules.DrainGrace)}, {"rules.extra-free", value(o.Rules.ExtraFree)},
 		{"rules.further-ratio", value(o.Rules.FurtherRatio)}, {"rules.look-back-ms", value(o.Rules.LookBack)}}
 	for i, g := range o.Grades {
 		at := fmt.Sprintf("grades[%d] (%s).", i, g.Name)
@@ -209,6 +210,7 @@
 	Reports               []string // the names of a report's values, in their order
 	Zones, Kinds, Clients []string
 	DialTime, IdleTime    float64
+	DrainGrace            float64 // after a drain is told, requests may still be sent for so long; the least that is asked anywhere where it is not told
 	Multiplex, MostHeld   int
 	Loads                 bool     // engines report their load
 	Unknown               []string // keys that nobody here knows; they were passed over
@@ -284,11 +286,21 @@
 		names = append(names, c.Name)
 	}
 	return Settings{Settings: s, Reports: o.Feedback.Names, Zones: o.Zones, Kinds: o.Kinds, Clients: names,
-		DialTime: o.Limits.Dial / 1000, IdleTime: o.Limits.Idle / 1000, Multiplex: o.Limits.Multiplex,
+		DialTime: o.Limits.Dial / 1000, IdleTime: o.Limits.Idle / 1000, DrainGrace: drainGrace(o.Rules.DrainGrace), Multiplex: o.Limits.Multiplex,
 		MostHeld: o.Limits.MostHeld, Unknown: unknown(text),
 		Loads: word(reporting, o.Feedback.How, "feedback.how", &wrong) && len(o.Feedback.Names) > 0}, wrong
 }
 
+// leastDrainGrace stands in where the settings tell none, in seconds.
+const leastDrainGrace = 0.25
+
+func drainGrace(told *float64) float64 {
+	if told == nil {
+		return leastDrainGrace
+	}
+	return *told / 1000
+}
+
 // WithUnmarked adds a second group beside each referenced one, of the same name and once-only: what has no mark can't
 // be told from its repeats, so it must not be sent again. Only protocols that may lack a mark need it.
 func (s *Settings) WithUnmarked() {
