--- a/cmd/pitchfield/drain_test.go
+++ b/cmd/pitchfield/drain_test.go
@@ -99,17 +99,51 @@
 	p.start()
 	p.names.Set(draining("s-0", e0), ready("s-new", e1))
 	limit := p.told("s-0").Add(grace + slack)
+	p.askUntilPast(limit)
+	assert.Empty(t, old.after(limit), "after the grace")
+	assert.NotEmpty(t, fresh.after(limit))
+}
+
+// The numbers of lists begin with 1 at each start of a router. An answer that was made for the process before has a higher
+// one; a router that took it for newer held all lists for old until its own numbers had come so far. This is the cause of
+// incident 1.
+func TestAnAnswerMadeBeforeTheRestartDoesNotHideADrain(t *testing.T) {
+	var old, fresh arrivals
+	e0, e1 := engine(t, old.answer), engine(t, fresh.answer)
+	p := prepare(t, e0)
+	for range 4 {
+		p.list(e0)
+	}
+	p.configure(p.names)
+	p.start()
+	before := p.names.Now()
+	require.NoError(t, p.Process.Kill())
+	p.Wait() //nolint:errcheck
+	p.names.Renumber()
+	p.names.Stale(before)
+	p.configureKnown(p.names, p.names.Known())
+	answers := p.names.Answers()
+	p.start()
+	require.Eventually(t, func() bool { return p.names.Answers() > answers+3 }, patience, time.Millisecond)
+	p.names.Set(draining("s-0", e0), ready("s-new", e1))
+	limit := p.told("s-0").Add(grace + slack)
+	p.askUntilPast(limit)
+	assert.Empty(t, old.after(limit), "after the grace")
+	assert.NotEmpty(t, fresh.after(limit))
+}
+
+// askUntilPast sends requests one after the other, a hundred of them after a time.
+func (p *program) askUntilPast(limit time.Time) {
+	p.t.Helper()
+	const requests = 100
 	c := p.client()
-	const requests = 100 // after the grace
 	for i, past := uint32(1), 0; past < requests; i++ {
 		if time.Now().After(limit) {
 			past++
 		}
-		require.NoError(t, c.Ask(i, "lookup", fmt.Sprintf("%016x", i), left, "SELECT 1"))
+		require.NoError(p.t, c.Ask(i, "lookup", fmt.Sprintf("%016x", i), left, "SELECT 1"))
 		p.answers(c, 1)
 	}
-	assert.Empty(t, old.after(limit), "after the grace")
-	assert.NotEmpty(t, fresh.after(limit))
 }
 
 // A request that is put behind bytes that its engine does not read leaves when the engine reads again, whatever was told
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -180,6 +180,14 @@
 	waiting  []question           // not answered yet, the oldest first
 	behind   int                  // each waits until so many more have come
 	withhold bool                 // none is answered
+	stale    *List                // answers the next query, unless nil
+	answers  int                  // sent so far
+}
+
+// List is a list of engines as the name service had it at some time.
+type List struct {
+	hosts  []Host
+	serial uint32
 }
 
 // question is a query and who asked it.
@@ -210,6 +218,34 @@
 	return n, nil
 }
 
+// Now gives the list as it is.
+func (n *Names) Now() List {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return List{n.hosts, n.serial}
+}
+
+// Renumber begins the numbers anew with 1, as for a router that has started again.
+func (n *Names) Renumber() {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.serial = 1
+}
+
+// Stale has the next query answered with a list of before, under its number of then.
+func (n *Names) Stale(before List) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.stale = &before
+}
+
+// Answers tells how many answers were sent.
+func (n *Names) Answers() int {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.answers
+}
+
 // Behind makes the service slow: from now on a query is answered once so many more have come, with the list as it is then.
 func (n *Names) Behind(queries int) {
 	n.mutex.Lock()
@@ -244,7 +280,12 @@
 	for !n.withhold && len(n.waiting) > n.behind {
 		q := n.waiting[0]
 		n.waiting = n.waiting[1:]
-		n.WriteTo(n.answer(q.query), q.from) //nolint:errcheck
+		list := List{n.hosts, n.serial}
+		if n.stale != nil {
+			list, n.stale = *n.stale, nil
+		}
+		n.answers++
+		n.WriteTo(n.answer(q.query, list), q.from) //nolint:errcheck
 	}
 }
 
@@ -289,7 +330,7 @@
 	return maps.Clone(n.drains)
 }
 
-func (n *Names) answer(query []byte) []byte {
+func (n *Names) answer(query []byte, list List) []byte {
 	u16 := binary.BigEndian.AppendUint16
 	name := func(out []byte, s string) []byte {
 		for _, label := range strings.Split(s, ".") {
@@ -302,11 +343,11 @@
 		return append(u16(append(out, 0, 0, 0, 0), uint16(len(data))), data...)
 	}
 	out := append([]byte{query[0], query[1], 0x84, 0, 0, 1}, 0, 0, 0, 1, 0, 0)
-	binary.BigEndian.PutUint16(out[6:], uint16(len(n.hosts)))
-	binary.BigEndian.PutUint16(out[10:], uint16(2*len(n.hosts)))
+	binary.BigEndian.PutUint16(out[6:], uint16(len(list.hosts)))
+	binary.BigEndian.PutUint16(out[10:], uint16(2*len(list.hosts)))
 	out = append(out, query[12:]...)
 	var more []byte
-	for _, h := range n.hosts {
+	for _, h := range list.hosts {
 		target := h.ID + "." + h.Zone + ".hosts"
 		ip, port, _ := net.SplitHostPort(h.Address)
 		p, _ := strconv.Atoi(port)
@@ -325,7 +366,7 @@
 		}
 		more = record(more, target, 16, text)
 	}
-	soa := binary.BigEndian.AppendUint32([]byte{0, 0}, n.serial)
+	soa := binary.BigEndian.AppendUint32([]byte{0, 0}, list.serial)
 	out = record(out, "mesh.local", 6, append(soa, make([]byte, 16)...))
 	return append(out, more...)
 }
