Standstill: a failing test for a client that goes meanwhile; a configuration's list counts once

A router that stood still in a step decides, where a timer waits beside, before it reads what came meanwhile; the name service's socket is read since, clients' are not.

A list of the configuration counts as one answer of the name service, and alone only where there is none at all.

--- a/cmd/pitchfield/drain_test.go
+++ b/cmd/pitchfield/drain_test.go
@@ -203,49 +203,79 @@
 	return c.Conn.Read(b)
 }
 
-// A router that stands still in the middle of a step, here since nobody reads its log, has not read the answer that came
-// meanwhile. What it decides when it goes on has to wait for that. It stands still twice: while it does so first, a timer
-// fires and the second request comes, so that the loop finds both at once and decides without looking at its sockets again.
-func TestAStandstillDoesNotSendByAnOldList(t *testing.T) {
-	var old, fresh arrivals
-	e0, e1 := engine(t, old.answer), engine(t, fresh.answer)
-	p := prepare(t, e0)
+// standstill is a router that stands still in the middle of a step, here since nobody reads its log. It does so twice: while it
+// stands still first, a timer fires and the second request comes, so that the loop finds both at once and decides without
+// looking at its sockets again.
+type standstill struct {
+	*program
+	reader        *pausedReader
+	first, second *standin.Client
+}
+
+func standStill(t *testing.T, e *standin.Engine) *standstill {
+	p := prepare(t, e)
 	logs, write, err := os.Pipe()
 	require.NoError(t, err)
 	p.stderr, p.words = write, []string{"--log-level", "debug"}
 	p.configure(p.names)
-	reader := &pausedReader{from: logs, stopAt: []byte(`"msg":"batch"`), stopped: make(chan struct{}), goOn: make(chan struct{})}
-	go reader.run()
+	s := &standstill{program: p, reader: &pausedReader{from: logs, stopAt: []byte(`"msg":"batch"`), stopped: make(chan struct{}),
+		goOn: make(chan struct{})}}
+	go s.reader.run()
 	p.start()
 	write.Close()
-	first, second := p.client(), p.client()
-	for _, c := range []*standin.Client{first, second} {
-		require.NoError(t, c.Ask(1, "lookup", "0000000000000001", left, "SELECT 1"))
+	s.first, s.second = p.client(), p.client()
+	for i, c := range []*standin.Client{s.first, s.second} {
+		require.NoError(t, c.Ask(1, "lookup", fmt.Sprintf("%016x", 0xf0+i), left, "SELECT 1"))
 		require.Equal(t, uint8(0), p.answers(c, 1)[1].Code)
 	}
 	p.names.Withhold(true)
 	require.Eventually(t, func() bool { return p.names.Waiting() > 0 }, patience, time.Millisecond)
 	// A request's line in the log is longer than the pipe holds, so the router stands in the middle of it.
 	text := "SELECT '" + strings.Repeat("x", 200_000) + "'"
-	reader.arm(2)
-	require.NoError(t, first.Ask(2, "lookup", "0000000000000002", left, text))
-	<-reader.stopped
-	require.NoError(t, second.Ask(2, "lookup", "0000000000000003", left, text))
-	timerFired := time.Now().Add(2 * grace)
-	require.Eventually(t, func() bool { return time.Now().After(timerFired) }, patience, time.Millisecond)
-	reader.goOn <- struct{}{}
-	<-reader.stopped
-	p.names.Set(draining("s-0", e0), ready("s-new", e1))
-	p.names.Withhold(false)
-	limit := p.told("s-0").Add(grace + slack)
-	require.Eventually(t, func() bool { return time.Now().After(limit) }, patience, time.Millisecond)
-	reader.goOn <- struct{}{}
-	assert.Equal(t, uint8(0), p.answers(first, 1)[2].Code)
-	assert.Equal(t, uint8(0), p.answers(second, 1)[2].Code)
+	s.reader.arm(2)
+	require.NoError(t, s.first.Ask(2, "lookup", "0000000000000002", left, text))
+	<-s.reader.stopped
+	require.NoError(t, s.second.Ask(2, "lookup", "0000000000000003", left, text))
+	s.wait(time.Now().Add(2 * grace)) // the timer fires
+	s.reader.goOn <- struct{}{}
+	<-s.reader.stopped
+	return s
+}
+
+func (s *standstill) wait(until time.Time) {
+	s.t.Helper()
+	require.Eventually(s.t, func() bool { return time.Now().After(until) }, patience, time.Millisecond)
+}
+
+// What came while it stood still is not read yet: a drain,
+func TestAStandstillDoesNotSendByAnOldList(t *testing.T) {
+	var old, fresh arrivals
+	e0, e1 := engine(t, old.answer), engine(t, fresh.answer)
+	s := standStill(t, e0)
+	s.names.Set(draining("s-0", e0), ready("s-new", e1))
+	s.names.Withhold(false)
+	limit := s.told("s-0").Add(grace + slack)
+	s.wait(limit)
+	s.reader.goOn <- struct{}{}
+	assert.Equal(t, uint8(0), s.answers(s.first, 1)[2].Code)
+	assert.Equal(t, uint8(0), s.answers(s.second, 1)[2].Code)
 	assert.Empty(t, old.after(limit), "after the grace")
 	assert.True(t, fresh.has("0000000000000003"))
 }
 
+// or the end of a client.
+func TestAStandstillDoesNotSendForAClientThatHasGone(t *testing.T) {
+	var arrived arrivals
+	s := standStill(t, engine(t, arrived.answer))
+	require.NoError(t, s.first.Close())
+	s.wait(time.Now().Add(100*time.Millisecond + slack))
+	s.reader.goOn <- struct{}{}
+	assert.Equal(t, uint8(0), s.answers(s.second, 1)[2].Code)
+	require.NoError(t, s.second.Ask(3, "lookup", "0000000000000004", left, "SELECT 1"))
+	assert.Equal(t, uint8(0), s.answers(s.second, 1)[3].Code)
+	assert.False(t, arrived.has("0000000000000002"), "an attempt long after its client closed")
+}
+
 // pausedReader reads a log and, once armed, stops at a text until it is let go on, so many times.
 type pausedReader struct {
 	from    io.Reader
--- a/internal/directory/follower.go
+++ b/internal/directory/follower.go
@@ -162,17 +162,23 @@
 // Moved drops all open questions: the service is asked at another address from now on, and what the old one still says does
 // not count.
 func (f *Follower) Moved(now float64) {
-	f.open, f.candidate, f.heardAt, f.due = nil, nil, now, now
+	f.open, f.heardAt, f.due = nil, now, now
 }
 
-// Configured takes a list that the configuration tells while the router runs, if it is newer. It reports whether List has
+// Configured takes a list that the configuration tells while the router runs, if it is newer by number. It counts as one
+// answer: a file may be older than what the name service tells, and numbered by another start. It reports whether List has
 // changed.
 func (f *Follower) Configured(list List, now float64) bool {
 	if list.Serial <= f.current.Serial {
 		return false
 	}
+	print := fingerprint(list)
+	if len(f.current.Engines) == 0 { // there is nothing to go by
+		f.adopt(list, print, now)
+		return true
+	}
 	f.noteDrains(list, now)
-	f.adopt(list, fingerprint(list), now)
+	f.agreed, f.candidate = 0, &candidate{list: list, print: print, answers: 1}
 	return true
 }
 
--- a/internal/directory/follower_test.go
+++ b/internal/directory/follower_test.go
@@ -118,6 +118,18 @@
 	assert.Equal(t, []string{"s-1", "s-2"}, a.ready(), "an old list speaks of the old process")
 }
 
+func TestAListOfTheConfigurationCountsAsOneAnswer(t *testing.T) {
+	a := follow(list(1, one("s-1"), one("s-2")))
+	assert.False(t, a.Configured(list(1, one("s-9")), a.now), "as old as ours")
+	assert.True(t, a.Configured(list(4, leaving("s-1"), one("s-2"), one("s-0")), a.now))
+	assert.Equal(t, []string{"s-2"}, a.ready())
+	assert.Equal(t, Same, a.answer(list(1, one("s-1"), one("s-2"))))
+	assert.Equal(t, []string{"s-2"}, a.ready(), "its drains hold, its new engines don't")
+	empty := follow(List{})
+	assert.True(t, empty.Configured(list(4, one("s-1")), empty.now))
+	assert.Equal(t, []string{"s-1"}, empty.ready(), "without it there is nothing to go by")
+}
+
 // A name service with a backlog: each answer comes when many later questions have been asked.
 func TestASlowNameServiceIsHeard(t *testing.T) {
 	a := follow(list(1, one("s-1")))
