Standstill: sockets are read before decisions, and what waited is sent where they are made

Cause: tasks that wait in the loop run before its sockets are looked at again. After a step that took long the decisions, and requests whose connection had come up meanwhile, went by what was known before: a client that had closed, a drain.

Change: decisions of a turn whose events took over 50 ms are put off, once, until the sockets were looked at. What waited for a connection is sent at the end of the turn like all else, no longer in the event that brings the connection. A decided request has to be written within 50 ms, or half of the drain's grace if that is less.

--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -130,14 +130,16 @@
 	watching  bool          // slow clients
 	verifying chan struct{} // as many as run at a time
 
-	queue   []router.Event
-	running bool
-	stepAt  time.Time // when the handling of the present event began
-	delays  delays
-	armed   bool
-	timer   *time.Timer
-	ended   bool
-	endBy   time.Time
+	queue     []router.Event
+	running   bool
+	stepAt    time.Time // when the handling of the present event began
+	busySince time.Time // when the first event came since decisions were made last; zero: none has
+	postponed bool      // the decisions of this turn, once already
+	delays    delays
+	armed     bool
+	timer     *time.Timer
+	ended     bool
+	endBy     time.Time
 
 	piece     []byte      // to read into
 	lingering []*lingerer // the oldest first
@@ -313,10 +315,6 @@
 func (l *Loop) engineThere(p *peer) {
 	l.engines[p.number] = p
 	p.engine = p.speaks.New()
-	l.readNames() // requests that wait for this connection leave at once
-	if p.kind == toEngine && l.engines[p.number] != p {
-		return
-	}
 	up := p.engine.Open(l.owed)
 	l.write(p, l.owed)
 	if up && l.here(p) {
@@ -566,6 +564,9 @@
 		_, last := e.(router.TurnEnded)
 		more = !last
 		l.stepAt = time.Now()
+		if l.busySince.IsZero() {
+			l.busySince = l.stepAt
+		}
 		for _, what := range l.router.Reduce(clock(), e) {
 			l.do(what)
 		}
@@ -580,6 +581,9 @@
 }
 
 func (l *Loop) turnEnded() error {
+	if l.overslept() {
+		return nil
+	}
 	l.readNames() // while the next turn is still taken for armed: this one comes after it
 	l.armed = false
 	for p := range l.waiting {
--- a/internal/router/connections.go
+++ b/internal/router/connections.go
@@ -92,11 +92,29 @@
 	r.dialing--
 	r.timers.stop(l.timer)
 	l.Up, l.Heard = true, r.now
-	r.sendQueue(l)
-	r.rest(l)
+	r.writable = append(r.writable, l)
+}
+
+func (r *Router) engineRead(number uint64) {
+	if l := r.connections[number]; l != nil {
+		l.Unread = false
+		r.writable = append(r.writable, l)
+	}
+}
+
+// sendQueues sends what has waited for connections. It is done where decisions are made, at the end of a turn: by then all that
+// has come is known, and what must not be sent any more has been taken back.
+func (r *Router) sendQueues() {
+	lines := r.writable
+	r.writable = nil
+	for _, l := range lines {
+		if r.connections[l.Number] == l {
+			r.sendQueue(l)
+			r.rest(l)
+		}
+	}
 }
 
-// sendQueue sends what has waited for a connection.
 func (r *Router) sendQueue(l *line) {
 	queue := l.queue
 	l.queue = nil
--- a/internal/router/dispatches.go
+++ b/internal/router/dispatches.go
@@ -12,10 +12,11 @@
 const (
 	mostResult = 48000 // bytes of a result that has to be whole
 	pageAgain  = 0.1   // a page is there and comes at once; it is asked for again after this, doubled each time
-	// decisionHolds is the part of a drain's grace in which a request that was decided must be written, else it is decided
-	// anew: the process may stand still in between, and a drain be told. The rest is for answers on their way.
-	decisionHolds = 0.5
-	leastHold     = 0.02 // seconds: a step takes a little, whatever the grace
+	// A request that was decided must be written within this part of a drain's grace, and within these seconds, else it is
+	// decided anew: the process may stand still in between, a drain be told and its client go. The rest is for answers on
+	// their way. A step takes a little, whatever the grace.
+	decisionShare            = 0.5
+	mostDecision, leastHolds = 0.05, 0.02
 )
 
 // missingPages is due when pages that were asked for should have come.
@@ -84,7 +85,7 @@
 		w.written, w.wroteAt = true, r.now
 		r.log(Debug, "written", "id", w.batch.id, "no", w.no, "engine", w.engine.name, "address", w.engine.address,
 			"connection", l.Number, "waited", r.now-w.sentAt, "serial", r.follower.Serial())
-		r.do(OrderEngine{l.Number, w.order(r.now), min(w.by, r.now+max(r.settings.Settings.DrainGrace*decisionHolds, leastHold))})
+		r.do(OrderEngine{l.Number, w.order(r.now), min(w.by, r.now+r.decisionHolds())})
 	case *probe:
 		r.do(OrderEngine{l.Number, traffic.Probe{Tag: w.tag, Load: r.settings.Settings.Loads}, math.Inf(1)})
 	}
@@ -119,6 +120,11 @@
 	r.rest(l)
 }
 
+// decisionHolds is how long a request may take from its decision to its writing, in seconds.
+func (r *Router) decisionHolds() float64 {
+	return max(min(r.settings.Settings.DrainGrace*decisionShare, mostDecision), leastHolds)
+}
+
 func (r *Router) order(l *line, what traffic.Order) {
 	if l.Up {
 		r.do(OrderEngine{l.Number, what, math.Inf(1)})
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -48,6 +48,7 @@
 	numbers     uint64           // of connections to engines and of probes
 	most        int              // descriptors for connections to engines
 	spread      int              // connections to one engine before batches share them
+	writable    []*line          // connections that have come up, or been read, in this turn
 	dialing     int              // connections that are not up yet; each takes a second descriptor for a moment
 
 	clients     map[uint64]*client      // clientEnded deletes
@@ -203,10 +204,7 @@
 	case EngineSaid:
 		r.engineSaid(e.Connection, e.Reply)
 	case EngineRead:
-		if l := r.connections[e.Connection]; l != nil {
-			l.Unread = false
-			r.sendQueue(l)
-		}
+		r.engineRead(e.Connection)
 	case EngineBegan:
 		if l := r.connections[e.Connection]; l != nil {
 			l.half = r.now
@@ -288,6 +286,7 @@
 		r.wakeAt = math.Inf(1)
 		r.brain.Woken()
 	}
+	r.sendQueues()
 	r.pull()
 	if r.parts != nil {
 		r.partsTurn()
