Standstill: waiting for the next event is none; decisions are never made in the event itself

A request that was refused after its client had gone stayed listed until its time. The lists' line was written at every change.

Change: the time is void once a turn has ended; a socket to the name service ends the turn by a task like all else; what is refused is withdrawn when its client has gone; a newer list that waits for its second answer is a debug line.

Measured: the story that waits for the silent name service counts such lines; with the time left standing it fails, without it passes. Tests of loop, router, rig and cmd/pitchfield pass.

--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -285,7 +285,7 @@
 			l.routes = nil
 		}
 		l.beginTalk()
-		l.post(router.TurnEnded{})
+		l.decideSoon()
 	case toEngine:
 		p.opening = true
 		l.engineThere(p)
@@ -573,8 +573,15 @@
 		l.stepTook(e, l.stepAt)
 	}
 	l.queue, l.running = l.queue[:0], false
-	if more && !l.armed && l.turn != nil {
-		// A task runs after all that is ready to be read, so the module is pulled when it knows all of that.
+	if more {
+		l.decideSoon()
+	}
+}
+
+// decideSoon ends the turn by a task. It runs after all that is ready to be read, so the module is pulled when it knows all
+// of that.
+func (l *Loop) decideSoon() {
+	if !l.armed && l.turn != nil {
 		l.armed = true
 		l.execute(l.turnEnded)
 	}
@@ -590,6 +597,7 @@
 		l.count(p)
 	}
 	l.post(router.TurnEnded{})
+	l.busySince = time.Time{} // what comes from now on is another turn's
 	if l.ended {
 		return l.flushed()
 	}
--- a/internal/router/dispatches.go
+++ b/internal/router/dispatches.go
@@ -103,12 +103,16 @@
 	if !is || d.ended {
 		return
 	}
-	if e.Why == OrderUnread {
-		d.written, l.Unread = false, true
+	d.written = false
+	switch {
+	case d.batch.client == nil:
+		r.giveUp(d, brain.Withdrawn)
+	case e.Why == OrderUnread:
+		l.Unread = true
 		l.queue = append(l.queue, d)
-		return
+	default:
+		r.expired(d)
 	}
-	r.expired(d)
 }
 
 func (r *Router) expired(d *dispatch) {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -408,9 +408,13 @@
 		r.spell = false
 		r.log(Info, "list of engines taken", fields...)
 	default:
-		if !r.spell { // the first of a spell
-			r.spell = true
-			r.log(Info, "answer of the name service is not taken as it is", append(fields, "verdict", verdict.String())...)
+		level := Info
+		if verdict == directory.Unconfirmed && list.Serial > r.follower.Serial() { // as with every change
+			level = Debug
+		}
+		if !r.spell || level == Debug { // the first of a spell
+			r.spell = r.spell || level == Info
+			r.log(level, "answer of the name service is not taken as it is", append(fields, "verdict", verdict.String())...)
 		}
 	}
 	if verdict != directory.Unmatched && r.silent {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -210,7 +210,7 @@
 	Reports               []string // the names of a report's values, in their order
 	Zones, Kinds, Clients []string
 	DialTime, IdleTime    float64
-	DrainGrace            float64 // after a drain is told, requests may still be sent for so long; the least that is asked anywhere where it is not told
+	DrainGrace            float64 // seconds for which requests may still be sent after a drain was told
 	Multiplex, MostHeld   int
 	Loads                 bool     // engines report their load
 	Unknown               []string // keys that nobody here knows; they were passed over
@@ -291,7 +291,7 @@
 		Loads: word(reporting, o.Feedback.How, "feedback.how", &wrong) && len(o.Feedback.Names) > 0}, wrong
 }
 
-// leastDrainGrace stands in where the settings tell none, in seconds.
+// leastDrainGrace stands in where the settings tell none: the shortest that any deployment has, in seconds.
 const leastDrainGrace = 0.25
 
 func drainGrace(told *float64) float64 {
