--- a/internal/directory/follower.go
+++ b/internal/directory/follower.go
@@ -60,10 +60,10 @@
 // engines may be sent to. It is a pure state machine; times are Unix seconds and come from its caller. It is not safe for
 // concurrent use.
 //
-// A drain that any answer has told holds, whatever lists come after it under whatever number: lists that are late, repeated,
-// older than they claim to be or numbered by another start can add restrictions, never lift one. What lifts them (a new
-// engine, one that is ready again) has to be told by several answers in a row. So no single answer can make the router send
-// where it must not, and none can hide the answers after it.
+// A drain that any answer has told holds, and so does a later start of an engine, whatever lists come after it under whatever
+// number: lists that are late, repeated, older than they claim to be or numbered by another start can add restrictions, never
+// lift one. What lifts them (a new engine, one that is ready again) has to be told by several answers in a row. So no single
+// answer can make the router send where it must not, or more than a cold engine bears, and none can hide the answers after it.
 type Follower struct {
 	ids  *rand.Rand
 	open []openQuestion // the oldest first
@@ -79,7 +79,8 @@
 	print     uint64
 	agreed    int // answers in a row with it
 	candidate *candidate
-	drains    map[string]drain // by the engine's id
+	drains    map[string]drain   // by the engine's id
+	starts    map[string]float64 // the latest that was told, of engines in force
 	counts    Counts
 }
 
@@ -113,7 +114,7 @@
 
 // NewFollower begins with the list of the configuration. The seed is for the numbers of questions.
 func NewFollower(known List, seed uint64, now float64) *Follower {
-	f := &Follower{ids: rand.New(rand.NewPCG(seed, 16)), due: now, heardAt: now, drains: map[string]drain{}}
+	f := &Follower{ids: rand.New(rand.NewPCG(seed, 16)), due: now, heardAt: now, drains: map[string]drain{}, starts: map[string]float64{}}
 	f.adopt(known, fingerprint(known), now)
 	return f
 }
@@ -177,7 +178,7 @@
 		f.adopt(list, print, now)
 		return true
 	}
-	f.noteDrains(list, now)
+	f.restrict(list, now)
 	f.agreed, f.candidate = 0, &candidate{list: list, print: print, answers: 1}
 	return true
 }
@@ -218,7 +219,7 @@
 	f.heardAt, f.missed = now, 0
 	if at < f.answeredAt {
 		f.counts.Overtaken++
-		return Overtaken, f.noteDrains(list, now)
+		return Overtaken, f.restrict(list, now)
 	}
 	f.answeredAt = at
 	if last {
@@ -233,7 +234,7 @@
 	}
 	f.agreed = 0
 	f.askSoon(now)
-	changed = f.noteDrains(list, now)
+	changed = f.restrict(list, now)
 	if c := f.candidate; c == nil || c.list.Serial != list.Serial || c.print != print {
 		f.candidate, changed = &candidate{list: list, print: print}, true
 	}
@@ -255,9 +256,25 @@
 func (f *Follower) adopt(list List, print uint64, now float64) {
 	f.noteDrains(f.current, now)
 	f.current, f.print, f.candidate = list, print, nil
+	starts := map[string]float64{}
+	for _, e := range list.Engines {
+		starts[e.ID] = max(e.StartedAt, f.starts[e.ID])
+	}
+	f.starts = starts
 	f.endDrains(now)
 }
 
+// restrict takes from a list what counts at once, and reports whether anything of it is new.
+func (f *Follower) restrict(list List, now float64) (changed bool) {
+	for _, e := range list.Engines {
+		if at, there := f.starts[e.ID]; there && e.StartedAt > at {
+			f.starts[e.ID] = e.StartedAt
+			changed = true
+		}
+	}
+	return f.noteDrains(list, now) || changed
+}
+
 // noteDrains keeps what a list says of drains, and reports whether anything of it is new.
 func (f *Follower) noteDrains(list List, now float64) (changed bool) {
 	for _, e := range list.Engines {
@@ -287,7 +304,7 @@
 		e, there := listed[id]
 		switch {
 		case there && e.Draining: // said by the list in force
-		case there && e.StartedAt > d.startedAt: // of a process that has ended
+		case there && f.starts[id] > d.startedAt: // of a process that has ended
 			delete(f.drains, id)
 		case there && now-d.saidAt >= drainEnds && f.agreed >= drainAnswers:
 			delete(f.drains, id)
@@ -299,7 +316,7 @@
 	return changed
 }
 
-// List gives the engines of the list in force. One to which nothing new may be sent is told as draining: by this list, by
+// List gives the engines of the list in force, each with its latest start. One to which nothing new may be sent is told as draining: by this list, by
 // any answer before or since, or because it is missing from a list that is not confirmed yet.
 func (f *Follower) List() List {
 	out := List{Serial: f.current.Serial, Engines: slices.Clone(f.current.Engines)}
@@ -312,6 +329,7 @@
 	}
 	for i := range out.Engines {
 		e := &out.Engines[i]
+		e.StartedAt = max(e.StartedAt, f.starts[e.ID])
 		d, drains := f.drains[e.ID]
 		missing := there != nil && !there[e.ID]
 		if missing || drains && d.startedAt >= e.StartedAt {
--- a/internal/directory/follower_test.go
+++ b/internal/directory/follower_test.go
@@ -130,6 +130,21 @@
 	assert.Equal(t, []string{"s-1"}, empty.ready(), "without it there is nothing to go by")
 }
 
+// What is told of a start bounds what a cold engine is sent; an old list would have it warm.
+func TestAnEngineIsNeverOlderThanWasTold(t *testing.T) {
+	again := one("s-1")
+	again.StartedAt = 99
+	a := follow(list(1, one("s-1")))
+	a.answer(list(2, again))
+	assert.InDelta(t, 99, a.List().Engines[0].StartedAt, 0, "with the first answer")
+	a.answer(list(2, again))
+	for range otherAnswers {
+		a.answer(list(1, one("s-1")))
+	}
+	require.Equal(t, uint32(1), a.Serial())
+	assert.InDelta(t, 99, a.List().Engines[0].StartedAt, 0)
+}
+
 // A name service with a backlog: each answer comes when many later questions have been asked.
 func TestASlowNameServiceIsHeard(t *testing.T) {
 	a := follow(list(1, one("s-1")))
