List of engines: what an answer costs that changes nothing, at 3,200 engines

Need: the price of comparing each answer with the list in force, for the bounds on fleets sixteen times as large.

Change: a benchmark.

--- /dev/null
+++ b/internal/directory/bench_test.go
@@ -0,0 +1,18 @@
+package directory
+
+import (
+	"fmt"
+	"testing"
+)
+
+// BenchmarkSameList is what an answer costs that changes nothing, at the size of the largest fleets.
+func BenchmarkSameList(b *testing.B) {
+	var engines []Engine
+	for i := range 3200 {
+		engines = append(engines, one(fmt.Sprintf("s-%08x", i)))
+	}
+	a := follow(list(1, engines...))
+	for b.Loop() {
+		a.answer(list(1, engines...))
+	}
+}
