--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -9,6 +9,7 @@
 	"io"
 	"maps"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -181,6 +182,9 @@
 	behind   int                  // each waits until so many more have come
 	withhold bool                 // none is answered
 	stale    *List                // answers the next query, unless nil
+	before   []List               // lists that were in force, the oldest first
+	chance   float64              // that one of those answers a query
+	draw     func() float64       // of chance
 	answers  int                  // sent so far
 }
 
@@ -229,6 +233,7 @@
 func (n *Names) Renumber() {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
+	n.keep()
 	n.serial = 1
 }
 
@@ -281,8 +286,11 @@
 		q := n.waiting[0]
 		n.waiting = n.waiting[1:]
 		list := List{n.hosts, n.serial}
-		if n.stale != nil {
+		switch {
+		case n.stale != nil:
 			list, n.stale = *n.stale, nil
+		case len(n.before) > 0 && n.chance > 0 && n.draw() < n.chance:
+			list = n.before[int(n.draw()*float64(len(n.before)))]
 		}
 		n.answers++
 		n.WriteTo(n.answer(q.query, list), q.from) //nolint:errcheck
@@ -293,17 +301,36 @@
 func (n *Names) Set(hosts ...Host) {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
+	n.keep()
 	n.hosts, n.serial = hosts, n.serial+1
 }
 
+const mostBefore = 8 // lists that are kept for old answers
+
+func (n *Names) keep() {
+	if n.before = append(n.before, List{n.hosts, n.serial}); len(n.before) > mostBefore {
+		n.before = n.before[1:]
+	}
+}
+
+// Old has a part of the queries, by chance, answered with a list of before: as it was, under its number of then, be it of
+// before the router's start. The chances are drawn by draw, between 0 and 1.
+func (n *Names) Old(chance float64, draw func() float64) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.chance, n.draw = chance, draw
+}
+
 // From goes on with the numbers of another: the same service, at another address.
 func (n *Names) From(other *Names) {
 	other.mutex.Lock()
 	hosts, serial, drains := other.hosts, other.serial, maps.Clone(other.drains)
+	before, chance, draw := slices.Clone(other.before), other.chance, other.draw
 	other.mutex.Unlock()
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	n.hosts, n.serial, n.drains = hosts, serial, drains
+	n.before, n.chance, n.draw = before, chance, draw
 }
 
 // Known gives the list as a router's configuration tells it at a start: one event that holds all of it.
--- a/internal/torture/play.go
+++ b/internal/torture/play.go
@@ -393,6 +393,7 @@
 	case Kill:
 		r.kill()
 		r.failed(r.start())
+		r.drainAfterStart(chance)
 	case Churn:
 		for range 4 * s.Which {
 			if c, err := net.DialTimeout("tcp", r.address, time.Second); err == nil {
@@ -404,6 +405,15 @@
 	}
 }
 
+// drainAfterStart has an engine drain just after a start: what the router has been told by then decides whether it sees it.
+func (r *router) drainAfterStart(chance *rand.Rand) {
+	r.world.Lock()
+	defer r.world.Unlock()
+	if n := len(r.engines); n > 0 {
+		r.failed(r.drain(r.engines[chance.IntN(n)]))
+	}
+}
+
 // rude connects, says nothing or what is no frame, and waits.
 func (r *router) rude(s Step) {
 	var conns []net.Conn
--- a/internal/torture/router.go
+++ b/internal/torture/router.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -15,6 +16,11 @@
 	"pitchfield/internal/standin"
 )
 
+const (
+	oldAnswers = 0.1     // of the name service's, with a list of before, be it of before the router's start
+	oldStream  = 1 << 20 // of the seed's chances, one for each router
+)
+
 // router is one of a play: the processes that run under its name, one after the other, and its ways to all others.
 type router struct {
 	*play
@@ -65,6 +71,7 @@
 	if r.names, err = standin.NewNames(p.host + ":0"); err != nil {
 		return nil, err
 	}
+	r.names.Old(oldAnswers, rand.New(rand.NewPCG(r.Seed, oldStream+uint64(r.number))).Float64)
 	return r, r.findNames()
 }
 
@@ -144,8 +151,11 @@
 	return filepath.Join(r.Folder, fmt.Sprintf("log-%d-%d.json", r.Seed, r.number))
 }
 
-// start starts the process and waits until it is ready.
+// start starts the process and waits until it is ready. The numbers of its lists begin anew, as on the platform.
 func (r *router) start() error {
+	if r.starts() > 0 {
+		r.names.Renumber()
+	}
 	if err := r.configure(); err != nil {
 		return err
 	}
--- a/internal/torture/script.go
+++ b/internal/torture/script.go
@@ -20,7 +20,7 @@
 	Burst                   // several of both, milliseconds apart
 	Freeze                  // SIGSTOP of the router for a while
 	Restart                 // SIGTERM, and a start under the same address once it has ended
-	Kill                    // SIGKILL, and a start
+	Kill                    // SIGKILL, and a start, after which an engine drains
 	ReloadStop              // SIGHUP amid SIGTERM
 	NamesLost               // no answer from the name service for a while
 	EngineMute              // an engine says nothing for a while
