Tests of the list: a drain in any answer counts as told, and when a taken-back request leaves

The property took a drain for told only where a true answer said so; the story of a drain that takes back what waits for its connection had become looser by 50 ms than before the follower, without a bound.

Change: the property counts drains of every answer to an open question, old, late and renumbered ones too. The story holds that the request is taken back with the first answer, and that it leaves within 60 ms of that, for an engine that is new in the same list; before the follower it left in the same step. A comment is wrapped.

What run executes is unchanged but for the comment.

--- a/internal/directory/follower.go
+++ b/internal/directory/follower.go
@@ -316,8 +316,8 @@
 	return changed
 }
 
-// List gives the engines of the list in force, each with its latest start. One to which nothing new may be sent is told as draining: by this list, by
-// any answer before or since, or because it is missing from a list that is not confirmed yet.
+// List gives the engines of the list in force, each with its latest start. One to which nothing new may be sent is told as
+// draining: by this list, by any answer before or since, or because it is missing from a list that is not confirmed yet.
 func (f *Follower) List() List {
 	out := List{Serial: f.current.Serial, Engines: slices.Clone(f.current.Engines)}
 	var there map[string]bool
--- a/internal/directory/follower_test.go
+++ b/internal/directory/follower_test.go
@@ -208,7 +208,15 @@
 		}
 		a := follow(truth())
 		history := []List{list(rapid.Uint32Range(1, 9).Draw(t, "number before the start"), a.List().Engines...)}
-		told := map[string]bool{}
+		told := map[string]bool{} // by any answer that was to an open question
+		answer := func(id uint16, l List) {
+			if v, _ := a.Answer(id, l, a.now); v == Unmatched {
+				return
+			}
+			for _, e := range l.Engines {
+				told[e.ID] = told[e.ID] || e.Draining
+			}
+		}
 		var waiting []uint16
 		for range rapid.IntRange(1, 120).Draw(t, "steps") {
 			switch rapid.IntRange(0, 9).Draw(t, "step") {
@@ -227,7 +235,7 @@
 				if rapid.Bool().Draw(t, "numbered anew") {
 					l.Serial = rapid.Uint32Range(0, 20).Draw(t, "number")
 				}
-				a.answer(l)
+				answer(a.question(), l)
 			case 3:
 				a.question() // lost
 			case 4:
@@ -235,15 +243,10 @@
 			case 5:
 				if len(waiting) > 0 {
 					i := rapid.IntRange(0, len(waiting)-1).Draw(t, "late")
-					v, _ := a.Answer(waiting[i], rapid.SampledFrom(history).Draw(t, "what it says"), a.now)
-					_ = v
+					answer(waiting[i], rapid.SampledFrom(history).Draw(t, "what it says"))
 				}
 			default:
-				l := truth()
-				a.answer(l)
-				for _, e := range l.Engines {
-					told[e.ID] = told[e.ID] || e.Draining
-				}
+				answer(a.question(), truth())
 			}
 			for _, id := range a.ready() {
 				if told[id] && state[id] > 0 {
--- a/internal/router/crossings_test.go
+++ b/internal/router/crossings_test.go
@@ -116,9 +116,16 @@
 	require.Len(t, h.dials, 1)
 	leaving := east("s-1")
 	leaving.Draining = true
+	told := h.now
+	h.tell(ListAnswered{h.queries[len(h.queries)-1], directory.List{Serial: 2, Engines: []directory.Engine{leaving, east("s-2")}}})
+	assert.Empty(t, h.connections, "it is taken back with the first answer")
+	h.pass(0.006)
 	h.list(2, leaving, east("s-2"))
-	h.pass(0.05) // the module looks for an engine again
+	for len(h.dials) < 2 && h.now < told+1 {
+		h.pass(0.001)
+	}
 	require.Len(t, h.dials, 2, "it never ran, and goes elsewhere")
+	assert.Less(t, h.now-told, 0.06, "once the new engine is confirmed and the module looks again")
 	h.tell(EngineOpened{h.dials[0].Connection})
 	assert.Zero(t, h.fetches(id))
 	h.say(h.up(), id, "DONE", "sheets=1", "a\t2\t3\n")
