--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -47,6 +47,8 @@
 	toNames
 )
 
+func (k kind) String() string { return [...]string{"client", "engine", "name service"}[k] }
+
 // socket is what is written to.
 type socket interface {
 	Writev([][]byte) (int, error)
@@ -342,6 +344,7 @@
 	end := router.ClosedByPeer
 	if err != nil && !errors.Is(err, io.EOF) {
 		end = router.ResetByPeer
+		l.log.Info("connection failed", zap.Stringer("kind", p.kind), zap.Uint64("connection", p.number), zap.Int("unread", p.unread), zap.Error(err))
 	}
 	switch {
 	case p.kind == toNames:
@@ -450,7 +453,7 @@
 			break
 		}
 		if err != nil {
-			l.log.Warn("can't be read", zap.Uint64("connection", p.number), zap.Uint8("kind", uint8(p.kind)), zap.Error(err))
+			l.log.Warn("can't be read", zap.Uint64("connection", p.number), zap.Stringer("kind", p.kind), zap.Error(err))
 			end := router.BadInput
 			if errors.Is(err, traffic.ErrLogin) {
 				end = router.LoginRefused
@@ -540,7 +543,7 @@
 		l.post(router.ClientSpoilt{Client: p.number})
 		return
 	}
-	l.log.Warn("connection ended", zap.Uint64("connection", p.number), zap.Uint8("kind", uint8(p.kind)),
+	l.log.Warn("connection ended", zap.Uint64("connection", p.number), zap.Stringer("kind", p.kind),
 		zap.Stringer("end", end), zap.Int("unread", p.unread), zap.Int("held", l.pool.Used()*buffers.Size))
 	l.end(p, end)
 	if p.kind == toEngine {
@@ -800,6 +803,7 @@
 		end = router.DialTimedOut
 	}
 	l.execute(func() error {
+		l.log.Info("dial failed", zap.Uint64("connection", e.Connection), zap.String("address", e.Address), zap.Stringer("end", end), zap.Error(err))
 		l.post(router.EngineEnded{Connection: e.Connection, End: end})
 		return nil
 	})
