--- a/cmd/pitchfield/main_test.go
+++ b/cmd/pitchfield/main_test.go
@@ -9,6 +9,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -45,12 +46,34 @@
 	t       *testing.T
 	address string
 	names   *standin.Names
-	log     strings.Builder
+	log     lockedText
 	stderr  io.Writer // in place of the log, unless nil
 	path    string
 	words   []string
+
+	environment []string // further variables
+}
+
+// lockedText is a log that may be read while it is written.
+type lockedText struct {
+	mutex sync.Mutex
+	text  strings.Builder
+}
+
+func (l *lockedText) Write(b []byte) (int, error) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.text.Write(b)
+}
+
+func (l *lockedText) String() string {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.text.String()
 }
 
+func (p *program) logged(text string) bool { return strings.Contains(p.log.String(), text) }
+
 // launch starts the program with the engines that the name service lists, and waits until it is ready.
 func launch(t *testing.T, engines ...*standin.Engine) *program {
 	p := prepare(t, engines...)
@@ -91,6 +114,7 @@
 	p.Cmd = exec.Command("/bin/sh", "-c", `ulimit -n 256 && exec "$0" "$@"`, os.Args[0])
 	p.Args = append(p.Args, p.words...)
 	p.Env = append(os.Environ(), asProgram+"=1", "RELAY_CONFIG="+p.path)
+	p.Env = append(p.Env, p.environment...)
 	if p.Stderr = &p.log; p.stderr != nil {
 		p.Stderr = p.stderr
 	}
--- /dev/null
+++ b/cmd/pitchfield/syscalls_test.go
@@ -0,0 +1,271 @@
+package main
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
+
+	"pitchfield/internal/standin"
+	"pitchfield/internal/syscallfault"
+)
+
+// Rule 1 on real processes whose system calls fail for a moment, with the errors that their manual pages document: each
+// request gets one whole answer, and the process goes on. This is incident 2.
+
+// faultLibrary is built once, where a test wants it.
+var faultLibrary = sync.OnceValues(func() (string, error) {
+	folder, err := os.MkdirTemp("", "syscallfault")
+	if err != nil {
+		return "", err
+	}
+	return syscallfault.Build(folder)
+})
+
+// withFaults has the program's system calls go through a table of rules from its next start on.
+func (p *program) withFaults() *syscallfault.Table {
+	p.t.Helper()
+	library, err := faultLibrary()
+	require.NoError(p.t, err)
+	table, err := syscallfault.NewTable(filepath.Dir(p.path), 1)
+	require.NoError(p.t, err)
+	self, err := os.Executable()
+	require.NoError(p.t, err)
+	p.environment = table.Environment(library, self)
+	return table
+}
+
+type place int
+
+const (
+	anywhere place = iota
+	atClients
+	atEngines
+	atNames
+)
+
+// fault is a system call that fails a few times while requests come.
+type fault struct {
+	name string
+	rule syscallfault.Rule
+	at   place
+}
+
+const faultTimes = 3
+
+// few makes a fault for each of the errors.
+func few(name string, at place, rule syscallfault.Rule, errors ...syscall.Errno) (out []fault) {
+	for _, e := range errors {
+		r := rule
+		r.Error, r.Times = e, faultTimes
+		label := unix.ErrnoName(e)
+		if e == syscallfault.ShortTransfer {
+			label = "short"
+		}
+		out = append(out, fault{name + " " + label, r, at})
+	}
+	return out
+}
+
+func (p *program) port(e *standin.Engine, at place) int {
+	switch at {
+	case atClients:
+		address, err := net.ResolveTCPAddr("tcp", p.address)
+		require.NoError(p.t, err)
+		return address.Port
+	case atEngines:
+		return e.Addr().(*net.TCPAddr).Port
+	case atNames:
+		return p.names.LocalAddr().(*net.UDPAddr).Port
+	}
+	return 0
+}
+
+var faultsOfRequests = [][]fault{
+	few("accept", anywhere, syscallfault.Rule{Call: syscallfault.Accept4}, syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM,
+		syscall.EPROTO, syscall.EPERM, syscall.ENETDOWN, syscall.EHOSTUNREACH, syscall.EINTR, syscall.ECONNABORTED),
+	few("read from client", atClients, syscallfault.Rule{Call: syscallfault.Read, Target: syscallfault.Stream},
+		syscall.EINTR, syscall.ENOMEM, syscall.ENOBUFS, syscall.EAGAIN, syscallfault.ShortTransfer),
+	few("read from engine", atEngines, syscallfault.Rule{Call: syscallfault.Read, Target: syscallfault.Stream},
+		syscall.EINTR, syscall.ENOMEM, syscall.ENOBUFS, syscallfault.ShortTransfer),
+	few("read from name service", atNames, syscallfault.Rule{Call: syscallfault.Read, Target: syscallfault.Datagram},
+		syscall.EINTR, syscall.ENOMEM, syscall.ENOBUFS),
+	few("write to client", atClients, syscallfault.Rule{Call: syscallfault.Write, Target: syscallfault.Stream},
+		syscall.EINTR, syscall.ENOMEM, syscall.ENOBUFS, syscall.EAGAIN, syscallfault.ShortTransfer),
+	few("writev to client", atClients, syscallfault.Rule{Call: syscallfault.Writev, Target: syscallfault.Stream},
+		syscall.EINTR, syscall.ENOMEM, syscall.ENOBUFS, syscall.EAGAIN, syscallfault.ShortTransfer),
+	few("writev to engine", atEngines, syscallfault.Rule{Call: syscallfault.Writev, Target: syscallfault.Stream},
+		syscall.EINTR, syscall.ENOMEM, syscall.ENOBUFS, syscall.EAGAIN, syscallfault.ShortTransfer),
+	few("write to engine", atEngines, syscallfault.Rule{Call: syscallfault.Write, Target: syscallfault.Stream},
+		syscall.EINTR, syscall.ENOMEM, syscall.ENOBUFS, syscall.EAGAIN, syscallfault.ShortTransfer),
+	few("epoll add", anywhere, syscallfault.Rule{Call: syscallfault.EpollCtl, Target: syscallfault.Stream, Operation: unix.EPOLL_CTL_ADD},
+		syscall.ENOMEM, syscall.ENOSPC),
+	few("wake", anywhere, syscallfault.Rule{Call: syscallfault.Write, Target: syscallfault.NoSocket}, syscall.EINTR),
+	few("poll", anywhere, syscallfault.Rule{Call: syscallfault.EpollPwait}, syscall.EINTR),
+	few("socket", anywhere, syscallfault.Rule{Call: syscallfault.Socket}, syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM),
+	few("connect", anywhere, syscallfault.Rule{Call: syscallfault.Connect}, syscall.EADDRNOTAVAIL, syscall.EAGAIN, syscall.EINTR, syscall.ENOBUFS),
+	few("setsockopt", anywhere, syscallfault.Rule{Call: syscallfault.Setsockopt}, syscall.ENOBUFS, syscall.ENOMEM),
+	few("close", anywhere, syscallfault.Rule{Call: syscallfault.Close}, syscall.EINTR, syscall.EIO),
+	few("log", anywhere, syscallfault.Rule{Call: syscallfault.Write, Target: syscallfault.StandardError},
+		syscall.EPIPE, syscall.ENOSPC, syscall.EIO, syscall.EAGAIN, syscall.EINTR, syscallfault.ShortTransfer),
+}
+
+func TestRequestsOutliveFailedSystemCalls(t *testing.T) {
+	for _, group := range faultsOfRequests {
+		for _, f := range group {
+			t.Run(f.name, func(t *testing.T) { requestsOutlive(t, f) })
+		}
+	}
+	t.Run("log that nobody reads", requestsOutliveALogThatNobodyReads)
+}
+
+// Standard error is a pipe that is full: writing a line takes for ever.
+func requestsOutliveALogThatNobodyReads(t *testing.T) {
+	p := prepare(t, engine(t, nil))
+	unread, write, err := os.Pipe()
+	require.NoError(t, err)
+	defer unread.Close()
+	p.stderr, p.words = write, []string{"--log-level", "debug"}
+	p.configure(p.names)
+	p.start()
+	write.Close()
+	c, ids := p.client(), &requestIDs{}
+	for range 100 { // some lines each, more than a pipe holds
+		p.served(c, ids, 4)
+	}
+	require.NoError(t, p.Process.Signal(syscall.SIGTERM))
+	require.NoError(t, p.Wait())
+}
+
+// requestsOutlive asks on a connection that stays and on new ones, several at a time so that further connections to the
+// engine are made, until the fault has come as often as it should. A call that this program does not make fails nobody.
+func requestsOutlive(t *testing.T, f fault) {
+	e := engine(t, nil)
+	p := prepare(t, e)
+	table := p.withFaults()
+	p.words = []string{"--log-level", "debug"}
+	p.configure(p.names)
+	p.start()
+	require.NotZero(t, table.Seen(), "the library is loaded")
+	f.rule.Port = p.port(e, f.at)
+	table.Set(0, f.rule)
+	kept, ids := p.client(), &requestIDs{}
+	const rounds, together = 20, 4
+	for round := uint32(0); round < rounds && table.Hits(0) < faultTimes; round++ {
+		fresh := p.client()
+		p.served(kept, ids, together)
+		p.served(fresh, ids, together)
+		fresh.Close()
+	}
+	table.Clear(0)
+	t.Log(table.Hits(0), "calls failed")
+	p.served(kept, ids, 1)
+	require.NoError(t, p.Process.Signal(syscall.SIGTERM))
+	require.NoError(t, p.Wait(), p.log.String())
+}
+
+// requestIDs counts requests up, for their streams and their ids.
+type requestIDs struct{ last uint32 }
+
+func (r *requestIDs) next() uint32 {
+	r.last++
+	return r.last
+}
+
+// served asks for several requests at once until each has its result, every second one of a class that may not be repeated. A
+// refusal is an answer, after which a client asks again; an error is none that a client has to bear for a call that failed here.
+func (p *program) served(c *standin.Client, ids *requestIDs, together int) {
+	p.t.Helper()
+	const served, refused, tries = 0, 11, 50
+	for range tries {
+		for range together {
+			i := ids.next()
+			class := "lookup"
+			if i%2 == 0 {
+				class = "once"
+			}
+			require.NoError(p.t, c.Ask(i, class, fmt.Sprintf("%016x", i), left, "SELECT 1"))
+		}
+		answers := p.answers(c, together)
+		for _, a := range answers {
+			if a.Code != refused {
+				require.Equal(p.t, uint8(served), a.Code, a.Body)
+				require.Equal(p.t, "hello\tfrom\tpage 0\nhello\tfrom\tpage 1\n", a.Body)
+				together--
+			}
+		}
+		if together == 0 {
+			return
+		}
+	}
+	require.Fail(p.t, "never served")
+}
+
+// A call that fails at a start fails it no more than a moment.
+func TestAStartOutlivesFailedSystemCalls(t *testing.T) {
+	for _, group := range [][]fault{
+		few("socket", anywhere, syscallfault.Rule{Call: syscallfault.Socket}, syscall.EMFILE, syscall.ENOBUFS),
+		few("bind", anywhere, syscallfault.Rule{Call: syscallfault.Bind}, syscall.EADDRINUSE, syscall.ENOMEM),
+		few("listen", anywhere, syscallfault.Rule{Call: syscallfault.Listen}, syscall.EADDRINUSE),
+		few("epoll create", anywhere, syscallfault.Rule{Call: syscallfault.EpollCreate}, syscall.EMFILE, syscall.ENOMEM),
+		few("eventfd", anywhere, syscallfault.Rule{Call: syscallfault.Eventfd2}, syscall.EMFILE, syscall.ENOMEM),
+		few("epoll add of the name service", anywhere, syscallfault.Rule{Call: syscallfault.EpollCtl, Target: syscallfault.Datagram,
+			Operation: unix.EPOLL_CTL_ADD}, syscall.ENOMEM, syscall.ENOSPC),
+		few("epoll add of the listener", anywhere, syscallfault.Rule{Call: syscallfault.EpollCtl, Target: syscallfault.Listener,
+			Operation: unix.EPOLL_CTL_ADD}, syscall.ENOMEM),
+	} {
+		for _, f := range group {
+			t.Run(f.name, func(t *testing.T) {
+				e := engine(t, nil)
+				p := prepare(t, e)
+				table := p.withFaults()
+				table.Set(0, f.rule)
+				p.configure(p.names)
+				p.start()
+				t.Log(table.Hits(0), "calls failed")
+				p.served(p.client(), &requestIDs{}, 1)
+			})
+		}
+	}
+}
+
+// The file can't be opened as SIGHUP comes, or is half written: it is read again until it can be used.
+func TestAReloadOutlivesAFileThatCanNotBeRead(t *testing.T) {
+	for _, e := range []syscall.Errno{syscall.EMFILE, syscall.EIO, syscall.EINTR, 0} {
+		t.Run("open "+unix.ErrnoName(e), func(t *testing.T) {
+			old, fresh := engine(t, nil), engine(t, nil)
+			p := prepare(t, old)
+			table := p.withFaults()
+			p.configure(p.names)
+			p.start()
+			other, err := standin.NewNames("127.0.0.1:0")
+			require.NoError(t, err)
+			t.Cleanup(func() { other.Close() })
+			other.Set(ready("s-new", fresh))
+			if e == 0 {
+				require.NoError(t, os.WriteFile(p.path, []byte(`{"listen":`), 0o600))
+			} else {
+				table.Set(0, syscallfault.Rule{Call: syscallfault.Openat, Error: e, Times: faultTimes})
+				p.configure(other)
+			}
+			require.NoError(t, p.Process.Signal(syscall.SIGHUP))
+			if e == 0 {
+				require.Eventually(t, func() bool { return p.logged("the old one is kept") }, patience, time.Millisecond)
+				p.configure(other)
+			}
+			c, ids := p.client(), &requestIDs{}
+			assert.Eventually(t, func() bool {
+				p.served(c, ids, 1)
+				return len(fresh.Seen("fetch")) > 0
+			}, patience, 20*time.Millisecond, "the name service that the file names is never asked")
+		})
+	}
+}
