Event loop of our own: a failed system call is waited out, it ends no connection

The log was written by the loop itself, and EPIPE ended the process. A file that could not be read at SIGHUP was never read again.

Change: internal/reactor, non-blocking sockets on epoll, in place of gnet. A closed list has the errors that say a connection is over; any other failure of any call is waited out and the call done again. internal/transient has the errors that pass, for starts, dials and reloads alike; a dial that fails for want of resources is no longer the engine's fault. internal/logwriter writes the log beside the loop, within a bound. A reload is read again for 10 s, a start's files for 3 s. Dials are cancelled when nobody wants them; the goroutines of held connections are gone. Tests: the two standstill stories forced a standstill by a log that nobody reads, which no longer holds the loop up; they now stand in the loop's stories, where a line of the log holds the loop itself, with the same assertions. ADrainCrossesAConnectionThatComesUpLate looks for the connection on its way before the drain, since the router may give it up then. Starts pass over the Go runtime's own epoll_create1 and eventfd2, which it can't do without.

--- a/internal/loop/linger.go
+++ b/internal/loop/linger.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -41,11 +40,11 @@
 
 // shut ends our side, once nothing waits to be written.
 func (l *Loop) shut(one *lingerer) {
-	if one.shut || one.conn.OutboundBuffered() > 0 {
+	if one.shut || one.stream.Unsent() > 0 {
 		return
 	}
 	one.shut, one.by = true, time.Now().Add(lingerTime)
-	if err := syscall.Shutdown(one.on.Fd(), syscall.SHUT_WR); err != nil {
+	if err := one.stream.CloseWrite(); err != nil {
 		l.log.Debug("shutdown", zap.Error(err))
 		one.by = time.Now()
 	}
@@ -56,11 +55,11 @@
 		return
 	}
 	l.lingerSet = true
-	time.AfterFunc(lingerEvery, func() { l.execute(l.lingered) })
+	time.AfterFunc(lingerEvery, func() { l.reactor.Post(l.lingered) })
 }
 
 // lingered looks after the connections that linger; the last of them ends a router that has stopped.
-func (l *Loop) lingered() error {
+func (l *Loop) lingered() {
 	l.lingerSet = false
 	now := time.Now()
 	for _, one := range slices.Clone(l.lingering) {
@@ -70,16 +69,16 @@
 		}
 	}
 	if l.ended {
-		return l.flushed()
+		l.flushed()
+		return
 	}
 	l.lingerSoon()
-	return nil
 }
 
+// close closes a connection at once.
 func (l *Loop) close(p *peer) {
-	if err := l.turn.Close(p.on); err != nil {
-		l.log.Debug("close", zap.Error(err))
-	}
+	p.stream.Close()
+	l.gone(p, nil)
 }
 
 // forgetLinger: the connection is closed, whoever closed it.
--- a/internal/loop/orders.go
+++ b/internal/loop/orders.go
@@ -1,23 +1,12 @@
 package loop
 
 import (
-	"syscall"
-
 	"go.uber.org/zap"
-	"golang.org/x/sys/unix"
 
 	"pitchfield/internal/router"
 	"pitchfield/internal/traffic"
 )
 
-// keepUnsent has the system take no more bytes for a connection than it can send: what an engine's window does not let out
-// stays with us. Where the option is missing the system holds back some requests, and all else is as with it.
-func keepUnsent(_, _ string, c syscall.RawConn) error {
-	return c.Control(func(fd uintptr) {
-		unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_NOTSENT_LOWAT, 1) //nolint:errcheck
-	})
-}
-
 // order writes what the router wants of an engine. A request is written only if its first byte can leave now: neither too
 // long after it was decided, nor behind bytes that the engine has not read. Else it is given back, and never was sent. What
 // was written and waits here could be taken back by nobody: it would leave whenever the engine reads, after a drain, after
@@ -33,14 +22,14 @@
 	case clock() >= e.By:
 		l.post(router.OrderRefused{Connection: e.Connection, ID: request.ID, Why: router.OrderLate})
 		return
-	case p.conn.OutboundBuffered() > 0:
+	case p.stream.Unsent() > 0:
 		l.refuseUnread(p, request)
 		return
 	}
 	p.engine.Order(l.out, e.What)
 	size := l.out.Len()
 	l.write(p, l.out)
-	if p.held == nil && l.here(p) && p.conn.OutboundBuffered() >= size {
+	if l.here(p) && p.stream.Unsent() >= size {
 		l.takeBack(p, request)
 		return
 	}
@@ -52,26 +41,22 @@
 	if _, known := l.behind[p]; !known {
 		l.behind[p] = struct{}{}
 		l.log.Info("engine has not read what was written, requests wait", zap.String("id", request.ID),
-			zap.Uint64("connection", p.number), zap.Int("bytes", p.conn.OutboundBuffered()))
+			zap.Uint64("connection", p.number), zap.Int("bytes", p.stream.Unsent()))
 	}
 	l.post(router.OrderRefused{Connection: p.number, ID: request.ID, Why: router.OrderUnread})
 	l.watch()
 }
 
 // takeBack: not one byte of a request has left, and what the connection holds back can be taken from it by its end alone.
-// Nothing may be written on the way there, hence the shutdown: gnet tries once more when it closes.
 func (l *Loop) takeBack(p *peer, request *traffic.Dispatch) {
 	l.post(router.OrderRefused{Connection: p.number, ID: request.ID, Why: router.OrderLate})
-	if err := syscall.Shutdown(p.on.Fd(), syscall.SHUT_WR); err != nil {
-		l.log.Debug("shutdown", zap.Error(err))
-	}
 	l.broken(p, router.Unread)
 }
 
 // tellRead tells the router of engines that have read all, and whether others have not.
 func (l *Loop) tellRead() (more bool) {
 	for p := range l.behind {
-		if p.conn.OutboundBuffered() > 0 {
+		if p.stream.Unsent() > 0 {
 			more = true
 			continue
 		}
--- a/internal/loop/standstill.go
+++ b/internal/loop/standstill.go
@@ -29,6 +29,6 @@
 	l.postponed = true
 	l.log.Warn("stood still, sockets are read before anything is decided", zap.Duration("took", took))
 	// By a timer: a task that waits now would run before the sockets are looked at.
-	time.AfterFunc(lookSoon, func() { l.execute(l.turnEnded) })
+	time.AfterFunc(lookSoon, func() { l.reactor.Post(l.turnEnded) })
 	return true
 }
--- a/internal/loop/talk.go
+++ b/internal/loop/talk.go
@@ -4,14 +4,13 @@
 	"errors"
 	"fmt"
 	"net/netip"
-	"syscall"
 	"time"
 
-	"github.com/panjf2000/gnet/v2"
 	"go.uber.org/zap"
 
 	"pitchfield/internal/membership"
 	"pitchfield/internal/news"
+	"pitchfield/internal/reactor"
 	"pitchfield/internal/router"
 	"pitchfield/internal/shares"
 	"pitchfield/internal/talk"
@@ -39,7 +38,7 @@
 
 type talker struct {
 	Talk
-	fd     int // of the listener, to send by; 0: none
+	socket *reactor.Datagrams
 	begun  bool
 	talked Talked
 	told   time.Time // when a line last said that something was dropped
@@ -56,38 +55,30 @@
 		return
 	}
 	t.begun = true
-	fd, err := l.engine.DupListener("udp", t.Settings.Listen)
-	if err != nil {
-		l.log.Error("no talk", zap.Error(err))
-		return
-	}
-	t.fd = fd
 	l.post(router.TalkSet{Settings: t.Settings, Shares: t.Shares, News: t.News})
 }
 
 // talkCame takes a datagram in. It is checked whole; what is dropped is counted.
-func (l *Loop) talkCame(c gnet.Conn) {
+func (l *Loop) talkCame(data []byte, from netip.AddrPort) {
 	t := l.talk
-	data, err := c.Next(-1)
-	if err != nil || len(data) == 0 {
+	if len(data) == 0 {
 		return
 	}
 	t.talked.In++
 	t.talked.BytesIn += len(data)
-	from, err := netip.ParseAddrPort(c.RemoteAddr().String())
-	if err != nil || !t.mayTalk(from.Addr().Unmap()) {
+	if !t.mayTalk(from.Addr().Unmap()) {
 		t.talked.Strangers++
-		l.dropped("a stranger", c, nil)
+		l.dropped("a stranger", from, nil)
 		return
 	}
 	message, err := talk.Decode(t.Fleet, data)
 	switch {
 	case errors.Is(err, talk.ErrFleet):
 		t.talked.OtherFleets++
-		l.dropped("another fleet's", c, err)
+		l.dropped("another fleet's", from, err)
 	case err != nil:
 		t.talked.Unreadable++
-		l.dropped("can't be read", c, err)
+		l.dropped("can't be read", from, err)
 	default:
 		l.post(router.TalkCame{Message: &message.Message, Shares: message.Shares, News: message.News})
 	}
@@ -102,12 +93,12 @@
 	return false
 }
 
-func (l *Loop) dropped(why string, c gnet.Conn, err error) {
+func (l *Loop) dropped(why string, from netip.AddrPort, err error) {
 	if time.Since(l.talk.told) < tellDropped {
 		return
 	}
 	l.talk.told = time.Now()
-	l.log.Warn("datagram dropped", zap.String("why", why), zap.Stringer("from", c.RemoteAddr()), zap.Error(err),
+	l.log.Warn("datagram dropped", zap.String("why", why), zap.Stringer("from", from), zap.Error(err),
 		zap.Int("strangers", l.talk.talked.Strangers), zap.Int("other fleets", l.talk.talked.OtherFleets), zap.Int("unreadable", l.talk.talked.Unreadable))
 }
 
@@ -135,16 +126,7 @@
 	if by, is := t.Via[to]; is {
 		to = by
 	}
-	var where syscall.Sockaddr
-	if ip := to.Addr().Unmap(); ip.Is4() {
-		where = &syscall.SockaddrInet4{Port: int(to.Port()), Addr: ip.As4()}
-	} else {
-		where = &syscall.SockaddrInet6{Port: int(to.Port()), Addr: ip.As16()}
-	}
-	if err := syscall.Sendto(t.fd, data, syscall.MSG_DONTWAIT, where); err != nil {
-		return fmt.Errorf("talk: %w", err)
-	}
-	return nil
+	return t.socket.SendTo(data, to) //nolint:wrapcheck // it says what it is
 }
 
 func (l *Loop) tellMembers(m router.Members) {
--- /dev/null
+++ b/internal/reactor/listener.go
@@ -0,0 +1,92 @@
+package reactor
+
+import (
+	"errors"
+	"fmt"
+	"net"
+
+	"golang.org/x/sys/unix"
+
+	"pitchfield/internal/transient"
+)
+
+const (
+	backlog     = 4096 // the system cuts it to its own bound
+	mostAccepts = 16   // in a row: the others wait
+)
+
+// listener is a TCP listener.
+type listener struct {
+	registration
+	reactor  *Reactor
+	accepted func(*Stream) StreamHandler
+}
+
+// Listen accepts connections at an address. Accepted gives who is told what happens on one; nil: it is closed at once. What
+// fails for a moment as the listener is made is done again; the error is of what went on failing.
+func (r *Reactor) Listen(address string, accepted func(*Stream) StreamHandler) error {
+	to, err := net.ResolveTCPAddr("tcp", address)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	fd, err := bound(unix.SOCK_STREAM, socketAddress(to.AddrPort()))
+	if err != nil {
+		return fmt.Errorf("listen on %s: %w", address, err)
+	}
+	unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1) //nolint:errcheck // accepted ones are set again
+	if err := transient.Retry(startWithin, func() error { return unix.Listen(fd, backlog) }); err != nil {
+		unix.Close(fd)
+		return fmt.Errorf("listen on %s: %w", address, err)
+	}
+	r.add(&listener{registration: registration{fd: fd, wanted: unix.EPOLLIN}, reactor: r, accepted: accepted})
+	return nil
+}
+
+// bound gives a socket at a local address, which other sockets may share.
+func bound(kind int, address unix.Sockaddr) (fd int, err error) {
+	err = transient.Retry(startWithin, func() error {
+		fd, err = newSocket(kind, address)
+		if err != nil {
+			return err
+		}
+		unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1) //nolint:errcheck // bind tells whether it matters
+		unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEPORT, 1) //nolint:errcheck // the same
+		if err = unix.Bind(fd, address); err != nil {
+			unix.Close(fd)
+		}
+		return err
+	})
+	return fd, err
+}
+
+func (l *listener) ready(uint32) { l.again() }
+
+// again accepts what is there. An error of accept is of one connection that has gone, or of this moment: the next try tells.
+func (l *listener) again() {
+	for range mostAccepts {
+		fd, _, err := unix.Accept4(l.fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
+		switch {
+		case err == nil:
+			l.reactor.progress = true
+			l.open(fd)
+		case errors.Is(err, unix.EINTR), errors.Is(err, unix.ECONNABORTED):
+		case errors.Is(err, unix.EAGAIN):
+			return
+		default:
+			l.reactor.failed("accept4", err)
+			return
+		}
+	}
+}
+
+func (l *listener) open(fd int) {
+	noDelay(fd)
+	s := l.reactor.newStream(fd, nil)
+	if s.handler = l.accepted(s); s.handler == nil {
+		s.Close()
+		return
+	}
+	if !s.closed {
+		l.reactor.add(s)
+	}
+}
--- a/internal/router/clients.go
+++ b/internal/router/clients.go
@@ -41,7 +41,7 @@
 
 type clientCheck struct{}
 
-// clientOpened lets a client in. Descriptors are few and gnet ends its loop where accept finds none, so at the bound
+// clientOpened lets a client in. Descriptors are few, and while none is left nobody is let in, so at the bound
 // one has to go: who never says anything first, then who has been idle longest (its next batch finds another
 // connection), then the newest that is silent. Batches that are open are never ended for it.
 func (r *Router) clientOpened(number uint64, speaks *traffic.ClientProtocol) {
--- a/internal/syscallfault/shim/shim.c
+++ b/internal/syscallfault/shim/shim.c
@@ -41,6 +41,8 @@
 	_Atomic uint32_t hits;
 	_Atomic uint32_t operation; // of epoll_ctl; 0: any
 	_Atomic uint32_t port;      // of the socket, on either end; 0: any
+	_Atomic uint32_t pass;      // so many matching calls more do not fail
+	_Atomic uint32_t unused;
 };
 
 struct table {
@@ -94,7 +96,7 @@
 	return getpeername(fd, (struct sockaddr *)&address, &size) == 0 && ntohs(address.sin_port) == port;
 }
 
-static int matches(const struct rule *rule, const struct seccomp_data *data) {
+static int matches(struct rule *rule, const struct seccomp_data *data) {
 	uint32_t call = data->nr;
 	if (atomic_load(&rule->remaining) == 0 || atomic_load(&rule->call) != call) return 0;
 	int fd = call == __NR_epoll_ctl ? (int)data->args[2] : (int)data->args[0];
@@ -104,6 +106,11 @@
 	uint32_t target = atomic_load(&rule->target);
 	if (target != ANY && target_of(fd) != target) return 0;
 	if (port != 0 && !has_port(fd, port)) return 0;
+	uint32_t pass = atomic_load(&rule->pass);
+	if (pass > 0) {
+		atomic_store(&rule->pass, pass - 1);
+		return 0;
+	}
 	return chance() < atomic_load(&rule->per_mille);
 }
 
--- a/internal/syscallfault/syscallfault.go
+++ b/internal/syscallfault/syscallfault.go
@@ -74,6 +74,7 @@
 	Times     int    // how many calls fail; Unbounded: until the rule is cleared
 	Operation uint32 // of EpollCtl: unix.EPOLL_CTL_ADD and so on; 0: any
 	Port      int    // of the socket, at either end; 0: any
+	After     int    // so many calls that match do not fail, before the others do
 }
 
 // Rules is how many rules can be on at a time.
@@ -88,6 +89,7 @@
 	hits         uint32
 	operation    uint32
 	port         uint32
+	pass, unused uint32
 }
 
 type table struct {
@@ -154,6 +156,7 @@
 	atomic.StoreUint32(&s.perMille, perMille)
 	atomic.StoreUint32(&s.operation, r.Operation)
 	atomic.StoreUint32(&s.port, uint32(r.Port))
+	atomic.StoreUint32(&s.pass, uint32(r.After))
 	atomic.StoreUint32(&s.hits, 0)
 	atomic.StoreInt32(&s.remaining, int32(r.Times))
 }
