Guard: one ledger before every send, repeat, answer, close and end

Change: internal/guard, a pure ledger of requests that were taken and have not ended, attempts that may have run and connections that are up. The loop tells it what comes in and asks it before anything goes out: an attempt of a request that has ended or whose client has just gone, one on a connection that is not up, a repeat of a once-only request that may have run, a second answer, our close or end over open requests, 'ready' after the end. What would break is withheld and counted; before a close or an end open requests get an error.

--- /dev/null
+++ b/internal/guard/guard.go
@@ -0,0 +1,231 @@
+// Package guard holds the invariants of a request's life at the one place where the router's decisions become bytes. It keeps a
+// ledger of its own: what was taken and has not ended, which attempts went out, which connections are open. Every send, repeat,
+// answer, close and end asks it first. What would break an invariant is withheld and counted, so a fault in the decisions or
+// in the state behind them neither loses a request nor runs it twice. It is pure: no input or output, no clock.
+package guard
+
+import "fmt"
+
+// Request names one: the number of its client's connection, and its stream there.
+type Request struct {
+	Client uint64
+	Stream uint32
+}
+
+// Violation is an invariant that would have been broken.
+type Violation uint8
+
+// The violations.
+const (
+	SendAfterEnd    Violation = iota // an attempt of a request that has its final answer, or was cancelled
+	SendNowhere                      // an attempt on a connection that is not up
+	RepeatOnceOnly                   // a second attempt of a once-only request whose first may have run
+	SecondAnswer                     // an answer for a request that has ended, or that nobody asked
+	CloseUnanswered                  // a client's connection closed by us with requests open on it
+	EndUnanswered                    // the router's end with requests open
+	StartAfterEnd                    // 'ready' told after the end was decided
+	Violations                       // how many kinds there are
+)
+
+var violationNames = [Violations]string{"send after end", "send on a connection that is not up", "repeat of a once-only request",
+	"second answer", "close with open requests", "end with open requests", "ready after the end"}
+
+func (v Violation) String() string { return violationNames[v] }
+
+// Error is a violation that was prevented.
+type Error struct {
+	Violation Violation
+	Request   Request
+}
+
+func (e *Error) Error() string {
+	return fmt.Sprintf("%s: client %d, stream %d", e.Violation, e.Request.Client, e.Request.Stream)
+}
+
+// GoneError says that a request's client has gone just now, so that an attempt of it must not begin. It is no violation: the
+// router has not heard of it yet.
+type GoneError struct{ Request Request }
+
+func (e *GoneError) Error() string {
+	return fmt.Sprintf("the client has gone: client %d, stream %d", e.Request.Client, e.Request.Stream)
+}
+
+// attempt is one that may have run.
+type attempt struct {
+	connection uint64
+	id         string
+}
+
+// request is one that is open.
+type request struct {
+	attempts map[attempt]bool
+}
+
+// client is a connection of one.
+type client struct {
+	open map[uint32]*request // by stream
+	last uint32              // the highest stream taken: streams count up
+}
+
+// Counts is what has become of requests since the start.
+type Counts struct {
+	Taken, Answered, Cancelled, Gone int
+	Violations                       [Violations]int
+}
+
+// Broken is how many violations of any kind there were.
+func (c *Counts) Broken() (n int) {
+	for _, v := range c.Violations {
+		n += v
+	}
+	return n
+}
+
+// Guard is the ledger.
+type Guard struct {
+	clients map[uint64]*client
+	engines map[uint64]map[string]*request // by connection that is up: whose attempts are out there, by id
+	ended   bool
+	counts  Counts
+}
+
+// New makes an empty ledger.
+func New() *Guard {
+	return &Guard{clients: map[uint64]*client{}, engines: map[uint64]map[string]*request{}}
+}
+
+// Counts tells what has become of requests since the start.
+func (g *Guard) Counts() Counts { return g.counts }
+
+// Open tells how many requests have been taken and not ended.
+func (g *Guard) Open() (n int) {
+	for _, c := range g.clients {
+		n += len(c.open)
+	}
+	return n
+}
+
+func (g *Guard) broken(v Violation, r Request) error {
+	g.counts.Violations[v]++
+	return &Error{v, r}
+}
+
+// ClientOpened notes a connection of a client.
+func (g *Guard) ClientOpened(number uint64) {
+	g.clients[number] = &client{open: map[uint32]*request{}}
+}
+
+// Taken notes a request that has been read whole. A stream that does not count up is no request: its client is refused.
+func (g *Guard) Taken(r Request) {
+	c := g.clients[r.Client]
+	if c == nil || r.Stream <= c.last {
+		return
+	}
+	c.last = r.Stream
+	c.open[r.Stream] = &request{attempts: map[attempt]bool{}}
+	g.counts.Taken++
+}
+
+// Cancelled notes that nobody waits for a request any more.
+func (g *Guard) Cancelled(r Request) {
+	if c := g.clients[r.Client]; c != nil && c.open[r.Stream] != nil {
+		delete(c.open, r.Stream)
+		g.counts.Cancelled++
+	}
+}
+
+// ClientGone notes that a client has ended its connection, or that its protocol was broken: what was open has no one to answer.
+func (g *Guard) ClientGone(number uint64) {
+	if c := g.clients[number]; c != nil {
+		g.counts.Gone += len(c.open)
+		delete(g.clients, number)
+	}
+}
+
+// EngineUp notes a connection to an engine.
+func (g *Guard) EngineUp(connection uint64) { g.engines[connection] = map[string]*request{} }
+
+// EngineGone notes its end. What was out there may have run.
+func (g *Guard) EngineGone(connection uint64) { delete(g.engines, connection) }
+
+// Send asks whether an attempt may leave: its request is open, the connection is up, and a once-only request has no other
+// attempt that may have run. It notes the attempt.
+func (g *Guard) Send(r Request, id string, connection uint64, onceOnly bool) error {
+	c := g.clients[r.Client]
+	if c == nil {
+		return &GoneError{r}
+	}
+	open := c.open[r.Stream]
+	switch {
+	case g.ended || open == nil:
+		return g.broken(SendAfterEnd, r)
+	case g.engines[connection] == nil:
+		return g.broken(SendNowhere, r)
+	case onceOnly && len(open.attempts) > 0:
+		return g.broken(RepeatOnceOnly, r)
+	}
+	open.attempts[attempt{connection, id}] = true
+	g.engines[connection][id] = open
+	return nil
+}
+
+// NeverRan notes that an attempt surely did not run: it was not written, or its engine has turned it away.
+func (g *Guard) NeverRan(id string, connection uint64) {
+	if open := g.engines[connection][id]; open != nil {
+		delete(open.attempts, attempt{connection, id})
+	}
+	g.Over(id, connection)
+}
+
+// Over notes that an attempt has ended at its engine.
+func (g *Guard) Over(id string, connection uint64) { delete(g.engines[connection], id) }
+
+// Answer asks whether a final answer may be told, and notes it. An answer for a client that has gone goes nowhere, and is
+// nobody's fault.
+func (g *Guard) Answer(r Request) error {
+	c := g.clients[r.Client]
+	if c == nil {
+		return nil
+	}
+	if c.open[r.Stream] == nil {
+		return g.broken(SecondAnswer, r)
+	}
+	delete(c.open, r.Stream)
+	g.counts.Answered++
+	return nil
+}
+
+// Close asks for the end of a client's connection by us. It gives the requests that are open there: each has to get its
+// answer first.
+func (g *Guard) Close(number uint64) []Request {
+	return g.unanswered(number, CloseUnanswered)
+}
+
+// End asks for the router's end. It gives the requests that are open: each has to get its answer first.
+func (g *Guard) End() (unanswered []Request) {
+	for number := range g.clients {
+		unanswered = append(unanswered, g.unanswered(number, EndUnanswered)...)
+	}
+	g.ended = true
+	return unanswered
+}
+
+func (g *Guard) unanswered(number uint64, v Violation) (out []Request) {
+	c := g.clients[number]
+	if c == nil {
+		return nil
+	}
+	for stream := range c.open {
+		out = append(out, Request{number, stream})
+		g.counts.Violations[v]++
+	}
+	return out
+}
+
+// Ready asks whether a client may be told that the router is ready.
+func (g *Guard) Ready(r Request) error {
+	if g.ended {
+		return g.broken(StartAfterEnd, r)
+	}
+	return nil
+}
--- a/internal/loop/delays.go
+++ b/internal/loop/delays.go
@@ -33,6 +33,7 @@
 	}
 	if time.Since(l.delays.reportedAt) > reportEvery {
 		l.log.Info("longest delays", zap.Duration("step", l.delays.step), zap.Duration("order", l.delays.order))
+		l.reportRequests()
 		l.delays = delays{reportedAt: time.Now()}
 	}
 }
--- /dev/null
+++ b/internal/loop/invariants.go
@@ -0,0 +1,97 @@
+package loop
+
+import (
+	"errors"
+
+	"go.uber.org/zap"
+
+	"pitchfield/internal/guard"
+	"pitchfield/internal/router"
+	"pitchfield/internal/traffic"
+)
+
+// What the loop does by the guard. It tells the guard what comes in, and asks it before anything goes out.
+
+// observe tells the guard of an event before the router is told.
+func (l *Loop) observe(e router.Event) {
+	switch e := e.(type) {
+	case router.ClientSaid:
+		switch said := e.Said.(type) {
+		case *traffic.Ask:
+			l.guard.Taken(guard.Request{Client: e.Client, Stream: said.Stream})
+		case traffic.Cancel:
+			l.guard.Cancelled(guard.Request{Client: e.Client, Stream: said.Stream})
+		}
+	case router.EngineSaid:
+		switch e.Reply.Word {
+		case traffic.Full, traffic.Late:
+			l.guard.NeverRan(e.Reply.ID, e.Connection)
+		case traffic.Broke, traffic.Whole:
+			l.guard.Over(e.Reply.ID, e.Connection)
+		}
+	}
+}
+
+// prevented tells of what the guard has withheld.
+func (l *Loop) prevented(err error, fields ...zap.Field) {
+	var gone *guard.GoneError
+	if errors.As(err, &gone) {
+		l.log.Info("request is not sent, its client has just gone", fields...)
+		return
+	}
+	counts := l.guard.Counts()
+	l.log.Error("invariant violated, it is withheld", append(fields, zap.Error(err), zap.Int("violations", counts.Broken()))...)
+}
+
+// mayTell asks before a client is told something. What it is not told is given back.
+func (l *Loop) mayTell(e router.TellClient) bool {
+	var err error
+	switch what := e.What.(type) {
+	case *traffic.Answer:
+		err = l.guard.Answer(guard.Request{Client: e.Client, Stream: what.Stream})
+	case traffic.Ready:
+		if what.Yes {
+			err = l.guard.Ready(guard.Request{Client: e.Client, Stream: what.Stream})
+		}
+	}
+	if err == nil {
+		return true
+	}
+	l.prevented(err)
+	l.tell(nil, e.What)
+	return false
+}
+
+// answerBeforeClose gives what is open on a client's connection its final answer before we end it. Whoever does not read could not
+// be told, and one whose bytes can't be read has broken the protocol.
+func (l *Loop) answerBeforeClose(p *peer, why router.End) {
+	switch why {
+	case router.Unread, router.NoMemory, router.BadInput, router.LoginRefused:
+		return
+	}
+	l.answerAll(l.guard.Close(p.number), guard.CloseUnanswered)
+}
+
+// answerBeforeEnd does so for all clients before the router ends.
+func (l *Loop) answerBeforeEnd() {
+	l.answerAll(l.guard.End(), guard.EndUnanswered)
+	l.reportRequests()
+}
+
+func (l *Loop) answerAll(open []guard.Request, v guard.Violation) {
+	for _, r := range open {
+		l.prevented(&guard.Error{Violation: v, Request: r})
+		answer := &traffic.Answer{Stream: r.Stream, Code: traffic.Errored, Why: "the connection ends"}
+		if l.guard.Answer(r) == nil {
+			l.tell(l.clients[r.Client], answer)
+		}
+	}
+}
+
+// reportRequests logs what has become of requests since the start.
+func (l *Loop) reportRequests() {
+	c := l.guard.Counts()
+	l.log.Info("requests", zap.Int("taken", c.Taken), zap.Int("answered", c.Answered), zap.Int("cancelled", c.Cancelled),
+		zap.Int("gone with their client", c.Gone), zap.Int("open", l.guard.Open()), zap.Int("violations", c.Broken()),
+		zap.Int("failed system calls", l.reactor.Failures()))
+}
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -16,6 +16,7 @@
 
 	"pitchfield/internal/buffers"
 	"pitchfield/internal/config"
+	"pitchfield/internal/guard"
 	"pitchfield/internal/reactor"
 	"pitchfield/internal/router"
 	"pitchfield/internal/rows"
@@ -108,6 +109,7 @@
 	peerUnread       int // of one
 	mostHeld         int // in bytes
 
+	guard     *guard.Guard
 	owed, out *buffers.Chain // empty but while a message is made
 	status    func(router.Status)
 	talk      *talker       // nil: there is no talk
@@ -132,7 +134,7 @@
 // Run serves until the context ends and all that was taken is answered. A configuration that was read again takes
 // the place of the one before.
 func Run(ctx context.Context, c config.Config, w World, reloads <-chan Reload, log *zap.Logger) error {
-	l := &Loop{config: c, log: log, pool: w.Pool, verifying: make(chan struct{}, 2), clients: map[uint64]*peer{}, engines: map[uint64]*peer{},
+	l := &Loop{config: c, log: log, pool: w.Pool, guard: guard.New(), verifying: make(chan struct{}, 2), clients: map[uint64]*peer{}, engines: map[uint64]*peer{},
 		dials: map[uint64]*reactor.Dialing{}, waiting: map[*peer]struct{}{}, behind: map[*peer]struct{}{}, resolver: c.Resolver, status: w.Status}
 	l.bound()
 	l.owed, l.out = l.pool.Chain(), l.pool.Chain()
@@ -221,6 +223,7 @@
 	p := &peer{loop: l, kind: toClient, number: l.numbers, stream: s, in: l.pool.Chain(), client: speaks.New()}
 	s.Handle(p)
 	l.clients[p.number] = p
+	l.guard.ClientOpened(p.number)
 	p.opening = true
 	l.post(router.ClientOpened{Client: p.number, Speaks: speaks})
 	p.opening = false
@@ -236,6 +239,7 @@
 	p := &peer{loop: l, kind: toEngine, number: e.Connection, stream: s, in: l.pool.Chain(), speaks: e.Speaks, engine: e.Speaks.New()}
 	s.Handle(p)
 	l.engines[p.number] = p
+	l.guard.EngineUp(p.number)
 	up := p.engine.Open(l.owed)
 	l.write(p, l.owed)
 	if up && l.here(p) {
@@ -266,6 +270,11 @@
 }
 
 func (l *Loop) drop(p *peer) {
+	if p.kind == toClient {
+		l.guard.ClientGone(p.number)
+	} else {
+		l.guard.EngineGone(p.number)
+	}
 	p.in.Release()
 	l.unread -= p.unread
 	p.unread = 0
@@ -281,6 +290,7 @@
 		delete(l.engines, p.number)
 	case toClient:
 		delete(l.clients, p.number)
+		l.guard.ClientGone(p.number)
 		if !p.opening && why != router.Unread && why != router.NoMemory {
 			l.linger(p, time.Now().Add(flushTime))
 			return
@@ -429,6 +439,7 @@
 		if l.busySince.IsZero() {
 			l.busySince = l.stepAt
 		}
+		l.observe(e)
 		for _, what := range l.router.Reduce(clock(), e) {
 			l.do(what)
 		}
@@ -468,7 +479,9 @@
 func (l *Loop) do(what router.Effect) {
 	switch e := what.(type) {
 	case router.TellClient:
-		l.tell(l.clients[e.Client], e.What)
+		if l.mayTell(e) {
+			l.tell(l.clients[e.Client], e.What)
+		}
 	case router.OrderEngine:
 		if p := l.engines[e.Connection]; p != nil {
 			l.order(p, e)
@@ -481,6 +494,7 @@
 		e.Chain.Release()
 	case router.CloseClient:
 		if p := l.clients[e.Client]; p != nil {
+			l.answerBeforeClose(p, e.End)
 			l.end(p, e.End)
 		}
 	case router.CloseEngine:
@@ -512,6 +526,7 @@
 	case router.Log:
 		l.print(e)
 	case router.Exit:
+		l.answerBeforeEnd()
 		l.ended, l.endBy = true, time.Now().Add(max(time.Duration((e.By-clock())*float64(time.Second)), flushTime))
 		for _, p := range l.clients {
 			delete(l.clients, p.number)
--- a/internal/loop/orders.go
+++ b/internal/loop/orders.go
@@ -3,6 +3,7 @@
 import (
 	"go.uber.org/zap"
 
+	"pitchfield/internal/guard"
 	"pitchfield/internal/router"
 	"pitchfield/internal/traffic"
 )
@@ -26,6 +27,11 @@
 		l.refuseUnread(p, request)
 		return
 	}
+	if err := l.guard.Send(guard.Request{Client: e.For.Client, Stream: e.For.Stream}, request.ID, e.Connection, e.For.OnceOnly); err != nil {
+		l.prevented(err, zap.String("id", request.ID), zap.Uint64("connection", e.Connection))
+		l.post(router.OrderRefused{Connection: e.Connection, ID: request.ID, Why: router.OrderInvalid})
+		return
+	}
 	p.engine.Order(l.out, e.What)
 	size := l.out.Len()
 	l.write(p, l.out)
@@ -49,6 +55,7 @@
 
 // takeBack: not one byte of a request has left, and what the connection holds back can be taken from it by its end alone.
 func (l *Loop) takeBack(p *peer, request *traffic.Dispatch) {
+	l.guard.NeverRan(request.ID, p.number)
 	l.post(router.OrderRefused{Connection: p.number, ID: request.ID, Why: router.OrderLate})
 	l.broken(p, router.Unread)
 }
--- a/internal/router/dispatches.go
+++ b/internal/router/dispatches.go
@@ -85,12 +85,20 @@
 		w.written, w.wroteAt = true, r.now
 		r.log(Debug, "written", "id", w.batch.id, "no", w.no, "engine", w.engine.name, "address", w.engine.address,
 			"connection", l.Number, "waited", r.now-w.sentAt, "serial", r.follower.Serial())
-		r.do(OrderEngine{l.Number, w.order(r.now), min(w.by, r.now+r.decisionHolds())})
+		r.do(OrderEngine{l.Number, w.order(r.now), min(w.by, r.now+r.decisionHolds()), w.batch.origin()})
 	case *probe:
-		r.do(OrderEngine{l.Number, traffic.Probe{Tag: w.tag, Load: r.settings.Settings.Loads}, math.Inf(1)})
+		r.do(OrderEngine{l.Number, traffic.Probe{Tag: w.tag, Load: r.settings.Settings.Loads}, math.Inf(1), Origin{}})
 	}
 }
 
+// origin is what its attempts are made for. Nobody waits for a batch without a client, and nothing may be sent for it.
+func (b *batch) origin() Origin {
+	if b.client == nil {
+		return Origin{}
+	}
+	return Origin{Client: b.client.number, Stream: b.stream, OnceOnly: b.Group.Effect == brain.OnceOnly}
+}
+
 // orderRefused takes back a request that was not written. It never ran. Either the part of the fleet's budget by which it was
 // decided has ended, or the list of engines may have changed since, and it is decided anew; or its engine does not read, and
 // it waits for that.
@@ -131,7 +139,7 @@
 
 func (r *Router) order(l *line, what traffic.Order) {
 	if l.Up {
-		r.do(OrderEngine{l.Number, what, math.Inf(1)})
+		r.do(OrderEngine{l.Number, what, math.Inf(1), Origin{}})
 	}
 }
 
--- a/internal/router/events.go
+++ b/internal/router/events.go
@@ -105,13 +105,21 @@
 func (TalkCame) event()     {}
 func (OrderRefused) event() {}
 
+// Origin is the request that an attempt is made for.
+type Origin struct {
+	Client   uint64 // its connection
+	Stream   uint32
+	OnceOnly bool // it must not have an effect twice
+}
+
 // Refusal is why a request was not written.
 type Refusal uint8
 
 // The refusals.
 const (
-	OrderLate   Refusal = iota // the time until which it was allowed has passed: the process stood still
-	OrderUnread                // bytes before it have not been read by the engine; EngineRead tells when they have
+	OrderLate    Refusal = iota // the time until which it was allowed has passed: the process stood still
+	OrderUnread                 // bytes before it have not been read by the engine; EngineRead tells when they have
+	OrderInvalid                // it would have broken an invariant, or its client has just gone
 )
 
 // Effect is one thing that the router asks for, in its order. Rows and chains in it are the doer's from then on, but
@@ -138,6 +146,7 @@
 		Connection uint64
 		What       traffic.Order
 		By         float64 // once this time has come a request is not written any more, but told by OrderRefused
+		For        Origin  // whose attempt it is, of a dispatch
 	}
 	HoldEngine struct { // read no more of it, or go on
 		Connection uint64
