Soak: many real processes, overlapping faults, failing system calls

The checker has no excuse for what was written after SIGTERM, and takes the routers' own 'invariant violated' as a finding.

--- a/internal/defects/defects.go
+++ b/internal/defects/defects.go
@@ -21,6 +21,7 @@
 	Fleet         bool    // it shows only where there are several routers,
 	Talk, Shares  bool    // that talk, and divide by that,
 	Limits        bool    // not work for cold engines alone,
+	Soak          bool    // or where system calls fail too,
 	Firm          float64 // with so much of each whole fixed; 0: as the play has it
 	File          string  // from the root of the repository
 	Before, After string
--- a/internal/syscallfault/shim/shim.c
+++ b/internal/syscallfault/shim/shim.c
@@ -26,7 +26,7 @@
 #include <sys/uio.h>
 #include <unistd.h>
 
-enum { MOST_RULES = 64 };
+enum { MOST_RULES = 128 };
 
 enum target { ANY, STANDARD_ERROR, LISTENER, STREAM, DATAGRAM, NO_SOCKET };
 
@@ -48,6 +48,7 @@
 struct table {
 	_Atomic uint64_t chance; // state of the random numbers, first the seed
 	_Atomic uint64_t seen;   // notifications
+	_Atomic uint64_t failed; // calls that rules have failed
 	struct rule rules[MOST_RULES];
 };
 
@@ -152,6 +153,7 @@
 			response->error = -error;
 		}
 		atomic_fetch_add(&rule->hits, 1);
+		atomic_fetch_add(&table->failed, 1);
 		return;
 	}
 }
--- a/internal/syscallfault/syscallfault.go
+++ b/internal/syscallfault/syscallfault.go
@@ -31,6 +31,7 @@
 	EpollCtl    Call = unix.SYS_EPOLL_CTL
 	EpollPwait  Call = unix.SYS_EPOLL_PWAIT
 	Sendto      Call = unix.SYS_SENDTO
+	Recvfrom    Call = unix.SYS_RECVFROM
 	Connect     Call = unix.SYS_CONNECT
 	Socket      Call = unix.SYS_SOCKET
 	Setsockopt  Call = unix.SYS_SETSOCKOPT
@@ -78,7 +79,7 @@
 }
 
 // Rules is how many rules can be on at a time.
-const Rules = 64
+const Rules = 128
 
 // slot and table are laid out as in shim.c.
 type slot struct {
@@ -93,8 +94,8 @@
 }
 
 type table struct {
-	chance, seen uint64
-	slots        [Rules]slot
+	chance, seen, failed uint64
+	slots                [Rules]slot
 }
 
 // Table is the rules of one child process.
@@ -103,6 +104,9 @@
 	*table
 }
 
+// Total tells how many calls the library has failed since the table was made.
+func (t *Table) Total() int { return int(atomic.LoadUint64(&t.failed)) }
+
 // Build compiles the library into a folder and gives its path.
 func Build(folder string) (string, error) {
 	from, to := filepath.Join(folder, "syscallfault.c"), filepath.Join(folder, "syscallfault.so")
--- a/internal/torture/checker.go
+++ b/internal/torture/checker.go
@@ -29,6 +29,8 @@
 	Ended          time.Duration // when its connection ended while it was open; 0: it did not
 	End            string        // how, as the client saw it
 
+	First bool // it was the first on its connection
+
 	sets int // number of its data set
 }
 
@@ -81,7 +83,7 @@
 	}
 	for _, r := range seen.Routers {
 		for i, l := range r.Lives {
-			if l.Term > 0 && l.Killed > l.Term {
+			if l.Term > 0 && l.Killed > l.Term && !seen.Soaked { // there the kill comes as early as it may
 				found(0, nil, l.Term, "start %d of %s had to be killed %.3f s after SIGTERM", i, r.Name, (l.Killed - l.Term).Seconds())
 			}
 			if l.Ended > 0 && l.Killed == 0 && (l.Term == 0 || l.Exit != "exit status 0") {
@@ -97,7 +99,7 @@
 		}
 	}
 	for _, b := range batches {
-		if lost := b.lost(seen.Routers[b.Router], quiet[b.Connection]); lost != "" {
+		if lost := b.lost(seen.Routers[b.Router], quiet[b.Connection], seen.Soaked); lost != "" {
 			found(1, b, b.Due, "%s (%s, %s, connection %d, written at %.3f s, due %.3f s) %s", b.ID, b.Group, seen.Routers[b.Router].Name, b.Connection, b.Wrote.Seconds(),
 				b.Due.Seconds(), lost)
 		}
@@ -123,18 +125,26 @@
 // lost tells why a batch counts as lost; empty: it does not. A router may close a connection on which nothing is open. One that was
 // killed may have held it for its time, and for as long as we had stopped it: two stops of five seconds in a row, and then a kill, left
 // no moment for an answer, and 431 findings.
-func (b *Batch) lost(of Router, quiet bool) string {
-	l, stopped := of.Lives[b.Life], time.Duration(0)
+func (b *Batch) lost(of Router, quiet, soaked bool) string {
+	l, stopped, killed := of.Lives[b.Life], time.Duration(0), false
 	for _, s := range of.Stills {
 		stopped += s.within(b.Wrote, l.Killed)
 	}
 	if len(b.Answers) > 0 || b.Left > 0 {
 		return ""
 	}
+	if killed = l.Killed > 0; killed && soaked && l.Term > 0 { // it had the time that the platform gives, unless we stopped it meanwhile
+		for _, s := range of.Stills {
+			stopped += s.within(l.Term, l.Killed)
+		}
+		killed = stopped > 0
+	}
 	switch {
-	case l.Killed > 0 && l.Killed < b.Due+grace+stopped && (b.Ended == 0 || b.Ended >= l.Killed): // it held it when it was killed
+	case killed && l.Killed < b.Due+grace+stopped && (b.Ended == 0 || b.Ended >= l.Killed): // it held it when it was killed
+		return ""
+	case l.Term > 0 && b.Wrote > l.Term+lastWord && !soaked: // it had time to tell that it takes no more
 		return ""
-	case l.Term > 0 && b.Wrote > l.Term+lastWord: // it had time to tell that it takes no more
+	case b.First && b.Ended > 0 && of.crowded(b.Wrote): // of a crowd the newest may be shut unread
 		return ""
 	case b.Ended > 0 && quiet:
 		return ""
@@ -144,6 +154,16 @@
 	return "never had an answer"
 }
 
+// crowded tells whether idle clients filled a router's descriptors about a time.
+func (r Router) crowded(at time.Duration) bool {
+	for _, c := range r.Crowds {
+		if at > c.From && at < c.To+grace {
+			return true
+		}
+	}
+	return false
+}
+
 // wrong holds a result against what the stand-ins make: rows in order, of one engine.
 func (b *Batch) wrong() string {
 	lines := strings.Split(strings.TrimSuffix(b.Answers[0].Body, "\n"), "\n")
--- a/internal/torture/clients.go
+++ b/internal/torture/clients.go
@@ -67,7 +67,7 @@
 			}
 			lines[i] = l
 		}
-		if !l.router.stopping.Load() {
+		if !l.router.stopping.Load() || p.Soak {
 			l.stream++
 			p.ask(l, l.stream, r, before)
 		}
@@ -103,7 +103,7 @@
 func (l *line) usable() bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	return !l.noMore && !l.ended && len(l.open) < 30
+	return (!l.noMore || l.router.Soak) && !l.ended && len(l.open) < 30
 }
 
 // connect takes a connection to some router that is there.
@@ -112,7 +112,7 @@
 	all := p.everyone()
 	p.world.Unlock()
 	r := all[chance.IntN(len(all))]
-	if r.stopping.Load() || r.down.Load() {
+	if r.stopping.Load() && !r.justStopped() || r.down.Load() {
 		return nil
 	}
 	c, err := standin.Dial(r.address)
@@ -138,7 +138,7 @@
 	}{{"lookup", 4 * time.Second}, {"lookup", 4 * time.Second}, {"report", 8 * time.Second}, {"upload", 6 * time.Second}, {"once", 4 * time.Second}}
 	g := groups[r.IntN(len(groups))]
 	n := p.ids.Add(1)
-	b := &Batch{ID: fmt.Sprintf("%08x%08x", uint32(p.Seed), n), Group: g.name, Rows: 1 + r.IntN(250), Connection: l.number, Router: l.router.number, Life: l.life}
+	b := &Batch{ID: fmt.Sprintf("%08x%08x", uint32(p.Seed), n), Group: g.name, Rows: 1 + r.IntN(250), Connection: l.number, Router: l.router.number, Life: l.life, First: stream == 1}
 	if before != nil {
 		b.Origin, b.Group, b.Rows, b.sets = before.ID, before.Group, before.Rows, before.sets
 		g.name, g.limit = b.Group, before.Due-before.Wrote
--- a/internal/torture/cmd/main.go
+++ b/internal/torture/cmd/main.go
@@ -34,6 +34,7 @@
 	talk, shares bool
 	limits       bool
 	firm         float64
+	soak         bool
 }
 
 func main() {
@@ -52,6 +53,7 @@
 	flag.BoolVar(&o.shares, "shares", false, "and divide what a cold engine bears by that")
 	flag.BoolVar(&o.limits, "limits", false, "and free further dispatches and what may be out, too")
 	flag.Float64Var(&o.firm, "firm", 0.1, "share of that which stays with each")
+	flag.BoolVar(&o.soak, "soak", false, "system calls fail too, faults overlap, clients go on until a kill; for 10 to 40 routers")
 	measure := flag.Bool("measure", false, "no script: service and use of budgets by 2 to 12 routers, with none and half of them killed")
 	defects := flag.Bool("defects", false, "look for the defects of defects.toml")
 	flag.Parse()
@@ -157,7 +159,7 @@
 	var failure error
 	parallel.Each(o.beside, int(o.seeds), func(i int) {
 		r, err := torture.Run(torture.Options{Program: program, Older: older, Seed: o.first + uint64(i), Long: o.long, Clients: o.clients, Folder: o.folder,
-			Routers: o.routers, Talk: o.talk, Shares: o.shares, Limits: o.limits, Firm: o.firm})
+			Routers: o.routers, Talk: o.talk, Shares: o.shares, Limits: o.limits, Firm: o.firm, Soak: o.soak})
 		mutex.Lock()
 		defer mutex.Unlock()
 		if err != nil {
@@ -228,7 +230,7 @@
 		}
 		for seed := o.first; seed < o.first+o.seeds && out.err == nil && out.finding == nil; seed++ {
 			r, err := torture.Run(torture.Options{Program: program, Seed: seed, Long: o.long, Clients: o.clients, Folder: folder,
-				Routers: routers, Talk: o.talk || d.Talk, Shares: o.shares || d.Shares, Limits: o.limits || d.Limits, Firm: cmp.Or(d.Firm, o.firm)})
+				Routers: routers, Talk: o.talk || d.Talk, Shares: o.shares || d.Shares, Limits: o.limits || d.Limits, Firm: cmp.Or(d.Firm, o.firm), Soak: o.soak || d.Soak})
 			if out.err = err; err != nil {
 				break
 			}
--- a/internal/torture/router.go
+++ b/internal/torture/router.go
@@ -14,6 +14,7 @@
 	"pitchfield/internal/relay"
 	"pitchfield/internal/rig"
 	"pitchfield/internal/standin"
+	"pitchfield/internal/syscallfault"
 )
 
 const (
@@ -47,6 +48,9 @@
 	mutex  sync.Mutex // of the next two
 	lives  []Life
 	stills []Still
+	crowds []Still
+
+	faults *syscallfault.Table // of its system calls; nil: none fail
 }
 
 // Router is what the checker is told of one.
@@ -54,6 +58,7 @@
 	Name   string
 	Lives  []Life
 	Stills []Still
+	Crowds []Still                  // idle clients filled its descriptors
 	Told   map[string]time.Duration // when it was first told that an engine drains, by name
 }
 
@@ -68,6 +73,11 @@
 	if r.log, err = os.Create(r.logFile()); err != nil {
 		return nil, fmt.Errorf("torture: %w", err)
 	}
+	if p.library != "" {
+		if r.faults, err = syscallfault.NewTable(p.Folder, p.Seed<<8|uint64(r.number)+1); err != nil {
+			return nil, err
+		}
+	}
 	if r.names, err = standin.NewNames(p.host + ":0"); err != nil {
 		return nil, err
 	}
@@ -169,6 +179,9 @@
 	}
 	c := exec.Command("/bin/sh", words...)
 	c.Env, c.Stderr = append(os.Environ(), "RELAY_CONFIG="+r.config), r.log
+	if r.faults != nil {
+		c.Env = append(c.Env, r.faults.Environment(r.library, r.program)...)
+	}
 	if err := c.Start(); err != nil {
 		return fmt.Errorf("torture: %w", err)
 	}
@@ -267,7 +280,7 @@
 func (r *router) seen() Router {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	out := Router{Name: r.party(), Lives: r.lives, Stills: r.stills, Told: map[string]time.Duration{}}
+	out := Router{Name: r.party(), Lives: r.lives, Stills: r.stills, Crowds: r.crowds, Told: map[string]time.Duration{}}
 	for name, at := range r.names.Drains() {
 		out.Told[name] = at.Sub(r.began)
 	}
--- a/internal/torture/script.go
+++ b/internal/torture/script.go
@@ -51,7 +51,12 @@
 	"engine mute", "engine swap", "drain", "churn", "throttle", "rude clients", "kill many", "restart all", "freeze many", "newcomer", "twin",
 	"other build", "crash loop", "cut from an engine", "cut along zones", "cut one way", "cut from the name service", "drip", "lossy"}
 
-func (f Fault) String() string { return faultNames[f] }
+func (f Fault) String() string {
+	if f >= faults {
+		return soakFaultNames[f-faults]
+	}
+	return faultNames[f]
+}
 
 // Step is a fault at a time of the play.
 type Step struct {
@@ -61,6 +66,9 @@
 	Which int           // engine, or how many
 }
 
+// few is a number from 1 to 6.
+func (s Step) few() int { return 1 + (s.Which+5)%6 }
+
 func (s Step) String() string {
 	return fmt.Sprintf("%.2f s: %s, %.2f s, %d", s.At.Seconds(), s.Fault, s.For.Seconds(), s.Which)
 }
