--- a/cmd/pitchfield/syscalls_test.go
+++ b/cmd/pitchfield/syscalls_test.go
@@ -113,6 +113,7 @@
 	few("socket", anywhere, syscallfault.Rule{Call: syscallfault.Socket}, syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM),
 	few("connect", anywhere, syscallfault.Rule{Call: syscallfault.Connect}, syscall.EADDRNOTAVAIL, syscall.EAGAIN, syscall.EINTR, syscall.ENOBUFS),
 	few("setsockopt", anywhere, syscallfault.Rule{Call: syscallfault.Setsockopt}, syscall.ENOBUFS, syscall.ENOMEM),
+	few("getsockopt", anywhere, syscallfault.Rule{Call: syscallfault.Getsockopt}, syscall.ENOBUFS, syscall.ENOMEM),
 	few("close", anywhere, syscallfault.Rule{Call: syscallfault.Close}, syscall.EINTR, syscall.EIO),
 	few("log", anywhere, syscallfault.Rule{Call: syscallfault.Write, Target: syscallfault.StandardError},
 		syscall.EPIPE, syscall.ENOSPC, syscall.EIO, syscall.EAGAIN, syscall.EINTR, syscallfault.ShortTransfer),
