Event loop: accept asks for no address, so that no call behind it loses a connection

Cause: unix.Accept4 tells the peer's address, for which it calls getsockopt, and closes the new connection where that fails. Whatever its client had written was lost.

Change: accept4 is called bare; connected datagram sockets are read bare, a system call less each.

--- a/internal/reactor/datagram.go
+++ b/internal/reactor/datagram.go
@@ -15,6 +15,7 @@
 type Datagrams struct {
 	registration
 	reactor  *Reactor
+	peer     netip.AddrPort // of a connected socket
 	received func(data []byte, from netip.AddrPort)
 }
 
@@ -28,7 +29,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen on %s: %w", address, err)
 	}
-	return r.datagrams(fd, received), nil
+	return r.datagrams(fd, netip.AddrPort{}, received), nil
 }
 
 // ConnectDatagrams sends datagrams to an address, and takes them from there alone.
@@ -46,11 +47,11 @@
 		unix.Close(fd)
 		return nil, fmt.Errorf("connect: %w", err)
 	}
-	return r.datagrams(fd, received), nil
+	return r.datagrams(fd, to.AddrPort(), received), nil
 }
 
-func (r *Reactor) datagrams(fd int, received func([]byte, netip.AddrPort)) *Datagrams {
-	d := &Datagrams{registration: registration{fd: fd, wanted: unix.EPOLLIN}, reactor: r, received: received}
+func (r *Reactor) datagrams(fd int, peer netip.AddrPort, received func([]byte, netip.AddrPort)) *Datagrams {
+	d := &Datagrams{registration: registration{fd: fd, wanted: unix.EPOLLIN}, reactor: r, peer: peer, received: received}
 	r.add(d)
 	return d
 }
@@ -90,11 +91,11 @@
 		if d.closed {
 			return
 		}
-		n, from, err := unix.Recvfrom(d.fd, d.reactor.buffer, 0)
+		n, from, err := d.take()
 		switch {
 		case err == nil:
 			d.reactor.progress = true
-			d.received(d.reactor.buffer[:n], addressOf(from))
+			d.received(d.reactor.buffer[:n], from)
 		case errors.Is(err, unix.EINTR):
 		case errors.Is(err, unix.ECONNREFUSED): // of a datagram that was sent
 			d.reactor.progress = true
@@ -105,6 +106,16 @@
 	}
 }
 
+// take reads one datagram. On a connected socket its address is known, and not asked for: that is a system call more.
+func (d *Datagrams) take() (n int, from netip.AddrPort, err error) {
+	if d.peer.IsValid() {
+		n, err = unix.Read(d.fd, d.reactor.buffer)
+		return n, d.peer, err //nolint:wrapcheck // judged by the caller
+	}
+	n, address, err := unix.Recvfrom(d.fd, d.reactor.buffer, 0)
+	return n, addressOf(address), err //nolint:wrapcheck // the same
+}
+
 func addressOf(from unix.Sockaddr) netip.AddrPort {
 	switch a := from.(type) {
 	case *unix.SockaddrInet4:
--- a/internal/reactor/listener.go
+++ b/internal/reactor/listener.go
@@ -64,7 +64,7 @@
 // again accepts what is there. An error of accept is of one connection that has gone, or of this moment: the next try tells.
 func (l *listener) again() {
 	for range mostAccepts {
-		fd, _, err := unix.Accept4(l.fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
+		fd, err := accept(l.fd)
 		switch {
 		case err == nil:
 			l.reactor.progress = true
@@ -79,6 +79,16 @@
 	}
 }
 
+// accept takes one connection. It asks for no address: the library's call wants a further system call for that, and closes the
+// connection where that one fails.
+func accept(listener int) (int, error) {
+	fd, _, number := unix.Syscall6(unix.SYS_ACCEPT4, uintptr(listener), 0, 0, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0, 0)
+	if number != 0 {
+		return -1, number
+	}
+	return int(fd), nil
+}
+
 func (l *listener) open(fd int) {
 	noDelay(fd)
 	s := l.reactor.newStream(fd, nil)
