--- a/cmd/pitchfield/syscalls_test.go
+++ b/cmd/pitchfield/syscalls_test.go
@@ -210,6 +210,26 @@
 	require.Fail(p.t, "never served")
 }
 
+// Connections can't be accepted as a stop comes: what their machine has accepted waits with its requests, and is answered before
+// the process ends.
+func TestAStopAnswersWhatWaitsToBeAccepted(t *testing.T) {
+	p := prepare(t, engine(t, nil))
+	table := p.withFaults()
+	p.configure(p.names)
+	p.start()
+	table.Set(0, syscallfault.Rule{Call: syscallfault.Accept4, Error: syscall.EMFILE, Times: syscallfault.Unbounded})
+	waits := p.client()
+	require.NoError(t, waits.Ask(1, "lookup", "00000000000000f1", left, "SELECT 1"))
+	require.Eventually(t, func() bool { return table.Hits(0) > 0 }, patience, time.Millisecond)
+	require.NoError(t, p.Process.Signal(syscall.SIGTERM))
+	require.Eventually(t, func() bool { return p.logged(`"stopped"`) }, patience, time.Millisecond)
+	table.Clear(0)
+	a, err := waits.Next(patience)
+	require.NoError(t, err, "its connection ends with no answer")
+	assert.Equal(t, []any{uint8(11), uint32(1), uint8(11)}, []any{a.Type, a.Stream, a.Code}, "refused: nothing is sent on any more")
+	require.NoError(t, p.Wait(), p.log.String())
+}
+
 // A call that fails at a start fails it no more than a moment.
 func TestAStartOutlivesFailedSystemCalls(t *testing.T) {
 	for _, group := range [][]fault{
