Stop: what the machine has accepted is answered before the end, listeners close first

Cause: the end closed the listener with whatever waited there, and closed connections unread that came after it was decided.

Change: at the end listeners close once all that their machine has accepted is handed over, tried again where accept fails; requests on such connections are refused.

--- a/internal/loop/linger.go
+++ b/internal/loop/linger.go
@@ -5,6 +5,9 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"pitchfield/internal/reactor"
+	"pitchfield/internal/traffic"
 )
 
 // Lingering close: a client's connection that the router ends is shut on our side first, once all that the client was told is written. What
@@ -38,9 +41,38 @@
 	l.lingerSoon()
 }
 
-// shut ends our side, once nothing waits to be written.
+// acceptedLate takes in a connection that comes between the decision to end and the end. Its machine has accepted it, and maybe a
+// request on it, which has to get an answer: it is refused, since nothing is sent on any more.
+func (l *Loop) acceptedLate(s *reactor.Stream, speaks *traffic.ClientProtocol) reactor.StreamHandler {
+	p := &peer{loop: l, kind: toClient, number: l.numbers, stream: s, in: l.pool.Chain(), client: speaks.New(), lingers: true, late: true}
+	l.lingering = append(l.lingering, &lingerer{peer: p, by: time.Now().Add(lingerTime)})
+	l.lingerSoon()
+	return p
+}
+
+// refuseLate refuses what a client asks that came too late.
+func (l *Loop) refuseLate(p *peer, data []byte) {
+	p.in.Write(data) //nolint:errcheck // it never fails
+	for {
+		said, err := p.client.Read(p.in, l.owed)
+		if said == nil || err != nil {
+			break
+		}
+		switch said := said.(type) {
+		case *traffic.Ask:
+			said.Batch.Text.Release()
+			p.client.Tell(l.owed, &traffic.Answer{Stream: said.Stream, Code: traffic.PushedBack})
+		case traffic.AskReady:
+			p.client.Tell(l.owed, traffic.Ready{Stream: said.Stream})
+		}
+	}
+	p.stream.Write(l.owed.Parts())
+	l.owed.Release()
+}
+
+// shut ends our side, once nothing waits to be written. One that came late is given its time to ask.
 func (l *Loop) shut(one *lingerer) {
-	if one.shut || one.stream.Unsent() > 0 {
+	if one.shut || one.stream.Unsent() > 0 || one.late && time.Now().Before(one.by) {
 		return
 	}
 	one.shut, one.by = true, time.Now().Add(lingerTime)
@@ -51,7 +83,7 @@
 }
 
 func (l *Loop) lingerSoon() {
-	if l.lingerSet || len(l.lingering) == 0 {
+	if l.lingerSet || len(l.lingering) == 0 && !l.reactor.Listening() {
 		return
 	}
 	l.lingerSet = true
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -86,6 +86,7 @@
 	opening bool // it has just been accepted
 	half    bool // part of a message is there, and the router knows
 	lingers bool // we have ended it, and read on until it closes
+	late    bool // it was accepted after the end was decided
 }
 
 // Loop ties the router to its sockets; all of it runs on the event loop.
@@ -216,10 +217,10 @@
 
 // accepted takes in a client's connection; nil: it is not let in.
 func (l *Loop) accepted(s *reactor.Stream, speaks *traffic.ClientProtocol) reactor.StreamHandler {
+	l.numbers++
 	if l.ended {
-		return nil
+		return l.acceptedLate(s, speaks)
 	}
-	l.numbers++
 	p := &peer{loop: l, kind: toClient, number: l.numbers, stream: s, in: l.pool.Chain(), client: speaks.New()}
 	s.Handle(p)
 	l.clients[p.number] = p
@@ -303,7 +304,10 @@
 
 // Received takes in what a peer has sent. What comes from one that lingers is dropped.
 func (p *peer) Received(data []byte) {
-	if !p.lingers {
+	switch {
+	case p.late:
+		p.loop.refuseLate(p, data)
+	case !p.lingers:
 		p.loop.came(p, data)
 	}
 }
@@ -532,6 +536,7 @@
 			delete(l.clients, p.number)
 			l.linger(p, l.endBy)
 		}
+		l.reactor.StopListening()
 	}
 }
 
@@ -543,7 +548,7 @@
 
 // flushed ends the loop once no client lingers any more, or nobody reads what waits for them.
 func (l *Loop) flushed() {
-	if len(l.lingering) == 0 || time.Now().After(l.endBy.Add(lingerTime)) {
+	if len(l.lingering) == 0 && !l.reactor.Listening() || time.Now().After(l.endBy.Add(lingerTime)) {
 		l.reactor.Stop()
 		return
 	}
--- a/internal/reactor/listener.go
+++ b/internal/reactor/listener.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"time"
 
 	"golang.org/x/sys/unix"
 
@@ -20,6 +21,7 @@
 	registration
 	reactor  *Reactor
 	accepted func(*Stream) StreamHandler
+	closing  bool // once nothing waits to be accepted
 }
 
 // Listen accepts connections at an address. Accepted gives who is told what happens on one; nil: it is closed at once. What
@@ -38,10 +40,31 @@
 		unix.Close(fd)
 		return fmt.Errorf("listen on %s: %w", address, err)
 	}
-	r.add(&listener{registration: registration{fd: fd, wanted: unix.EPOLLIN}, reactor: r, accepted: accepted})
+	l := &listener{registration: registration{fd: fd, wanted: unix.EPOLLIN}, reactor: r, accepted: accepted}
+	r.listeners = append(r.listeners, l)
+	r.add(l)
 	return nil
 }
 
+// StopListening closes all listeners, each once all that its machine has accepted has been handed over: a plain close resets what
+// waits there, with the requests on it.
+func (r *Reactor) StopListening() {
+	for _, l := range r.listeners {
+		l.closing = true
+		l.again()
+	}
+}
+
+// Listening tells whether a listener is open.
+func (r *Reactor) Listening() bool {
+	for _, l := range r.listeners {
+		if !l.closed {
+			return true
+		}
+	}
+	return false
+}
+
 // bound gives a socket at a local address, which other sockets may share.
 func bound(kind int, address unix.Sockaddr) (fd int, err error) {
 	err = transient.Retry(startWithin, func() error {
@@ -64,6 +87,9 @@
 // again accepts what is there. An error of accept is of one connection that has gone, or of this moment: the next try tells.
 func (l *listener) again() {
 	for range mostAccepts {
+		if l.closed {
+			return
+		}
 		fd, err := accept(l.fd)
 		switch {
 		case err == nil:
@@ -71,12 +97,24 @@
 			l.open(fd)
 		case errors.Is(err, unix.EINTR), errors.Is(err, unix.ECONNABORTED):
 		case errors.Is(err, unix.EAGAIN):
+			if l.closing {
+				l.reactor.forget(l)
+			}
 			return
 		default:
 			l.reactor.failed("accept4", err)
+			l.later()
 			return
 		}
 	}
+	l.later()
+}
+
+// later has a listener that closes try again, also where epoll has nothing to tell.
+func (l *listener) later() {
+	if l.closing {
+		time.AfterFunc(retryEvery, func() { l.reactor.Post(l.again) })
+	}
 }
 
 // accept takes one connection. It asks for no address: the library's call wants a further system call for that, and closes the
--- a/internal/reactor/reactor.go
+++ b/internal/reactor/reactor.go
@@ -50,6 +50,7 @@
 type Reactor struct {
 	epoll, wakeup int
 	byFD          map[int]pollable
+	listeners     []*listener
 	unsettled     map[pollable]struct{} // epoll could not be told what is wanted of them, or a call has to be done again
 	buffer        []byte                // to read into
 	observe       func(Failure)
