--- a/cmd/pitchfield/syscalls_test.go
+++ b/cmd/pitchfield/syscalls_test.go
@@ -217,11 +217,20 @@
 // Connections can't be accepted as a stop comes: what their machine has accepted waits with its requests, and is answered before
 // the process ends.
 func TestAStopAnswersWhatWaitsToBeAccepted(t *testing.T) {
+	stopAnswersWhatWaits(t, syscallfault.Rule{Call: syscallfault.Accept4, Error: syscall.EMFILE, Times: syscallfault.Unbounded})
+}
+
+// Nor can a connection be read: its request waits.
+func TestAStopAnswersWhatWaitsToBeRead(t *testing.T) {
+	stopAnswersWhatWaits(t, syscallfault.Rule{Call: syscallfault.Read, Target: syscallfault.Stream, Error: syscall.ENOMEM, Times: syscallfault.Unbounded})
+}
+
+func stopAnswersWhatWaits(t *testing.T, rule syscallfault.Rule) {
 	p := prepare(t, engine(t, nil))
 	table := p.withFaults()
 	p.configure(p.names)
 	p.start()
-	table.Set(0, syscallfault.Rule{Call: syscallfault.Accept4, Error: syscall.EMFILE, Times: syscallfault.Unbounded})
+	table.Set(0, rule)
 	waits := p.client()
 	require.NoError(t, waits.Ask(1, "lookup", "00000000000000f1", left, "SELECT 1"))
 	require.Eventually(t, func() bool { return table.Hits(0) > 0 }, patience, time.Millisecond)
