Event loop: connections to engines are read once a round, clients until nothing is there

Change: only clients' connections are read until nothing is there, as before. epoll is asked by level, so a short read loses nothing.

--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -224,6 +224,7 @@
 	}
 	p := &peer{loop: l, kind: toClient, number: l.numbers, stream: s, in: l.pool.Chain(), client: speaks.New()}
 	s.Handle(p)
+	s.Drain() // one that has gone must be known to have gone before anything is decided
 	l.clients[p.number] = p
 	l.guard.ClientOpened(p.number)
 	p.opening = true
--- a/internal/reactor/stream.go
+++ b/internal/reactor/stream.go
@@ -30,6 +30,7 @@
 	handler StreamHandler
 	unsent  []byte
 	paused  bool
+	drains  bool
 	failing time.Time // since when reading or writing has failed; zero: it does not
 }
 
@@ -40,8 +41,9 @@
 // Handle says who is told what happens. It has to be called before the loop goes on.
 func (s *Stream) Handle(h StreamHandler) { s.handler = h }
 
-// FD is the descriptor.
-func (s *Stream) FD() int { return s.fd }
+// Drain has everything read that is there before the loop goes on, so that a peer's end is known as soon as what it sent before. It
+// costs a read more each time. Without it what is left is read in the next round.
+func (s *Stream) Drain() { s.drains = true }
 
 // Unsent tells how many bytes wait to be written.
 func (s *Stream) Unsent() int { return len(s.unsent) }
@@ -165,7 +167,7 @@
 	}
 }
 
-// read takes in what is there. A peer's end lies behind all that it has sent, so it goes on until nothing is there.
+// read takes in what is there.
 func (s *Stream) read() {
 	for range mostReads {
 		n, err := unix.Read(s.fd, s.reactor.buffer)
@@ -179,7 +181,7 @@
 		}
 		s.went()
 		s.handler.Received(s.reactor.buffer[:n])
-		if s.closed || s.paused {
+		if s.closed || s.paused || !s.drains && n < len(s.reactor.buffer) {
 			return
 		}
 	}
