--- a/cmd/pitchfield/main_test.go
+++ b/cmd/pitchfield/main_test.go
@@ -50,6 +50,8 @@
 	stderr  io.Writer // in place of the log, unless nil
 	path    string
 	words   []string
+	// settings are those that the configuration holds
+	settings string
 
 	environment []string // further variables
 }
@@ -89,7 +91,7 @@
 	t.Cleanup(func() { names.Close() })
 	free, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	p := &program{t: t, address: free.Addr().String(), names: names}
+	p := &program{t: t, address: free.Addr().String(), names: names, settings: grades}
 	free.Close()
 	p.list(engines...)
 	p.path = filepath.Join(t.TempDir(), "config.json")
@@ -105,7 +107,7 @@
 func (p *program) configureKnown(names *standin.Names, known any) {
 	config, err := json.Marshal(map[string]any{"name": "n1", "listen": p.address, "seed": "8c1f30d27a5be964",
 		"limits":   map[string]any{"cores": 1, "memory_mb": 192, "sockets": 256},
-		"resolver": names.LocalAddr().String(), "known": known, "settings": json.RawMessage(grades)})
+		"resolver": names.LocalAddr().String(), "known": known, "settings": json.RawMessage(p.settings)})
 	require.NoError(p.t, err)
 	require.NoError(p.t, os.WriteFile(p.path, config, 0o600))
 }
--- a/internal/directory/follower_test.go
+++ b/internal/directory/follower_test.go
@@ -145,6 +145,22 @@
 	assert.InDelta(t, 99, a.List().Engines[0].StartedAt, 0)
 }
 
+// An engine that has started again is another process, also where its machine's clock was set back meanwhile.
+func TestAStartThatIsToldAsEarlierIsANewOne(t *testing.T) {
+	before, again := one("s-1"), leaving("s-1")
+	before.StartedAt, again.StartedAt = 99, 50
+	a := follow(list(1, before, one("s-2")))
+	a.answer(list(2, again, one("s-2")))
+	assert.InDelta(t, 50, a.List().Engines[0].StartedAt, 0, "with the first answer")
+	assert.Equal(t, []string{"s-2"}, a.ready(), "and so is its drain")
+	a.answer(list(2, again, one("s-2")))
+	again.Draining = false
+	a.answer(list(3, again, one("s-2")))
+	a.answer(list(3, again, one("s-2")))
+	a.answer(list(1, before, one("s-2")))
+	assert.InDelta(t, 50, a.List().Engines[0].StartedAt, 0, "the start before it is over for good")
+}
+
 // A name service with a backlog: each answer comes when many later questions have been asked.
 func TestASlowNameServiceIsHeard(t *testing.T) {
 	a := follow(list(1, one("s-1")))
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -22,7 +22,8 @@
 // Engine is a toy engine: it answers what Answer gives, in RESP.
 type Engine struct {
 	net.Listener
-	Answer func(r Request) [][]string // may be nil: a result of one row, on two pages
+	Answer func(r Request) [][]string         // may be nil: a result of one row, on two pages
+	Late   func(connection int) time.Duration // by how much it reads a connection late, counted from 0; nil: no one
 
 	mutex sync.Mutex
 	seen  []Request
@@ -41,22 +42,28 @@
 // EngineOn takes connections from a listener that is there.
 func EngineOn(l net.Listener, answer func(Request) [][]string) *Engine {
 	e := &Engine{Listener: l, Answer: answer}
-	if answer == nil {
+	e.Start()
+	return e
+}
+
+// Start has it take connections. Its fields are set before.
+func (e *Engine) Start() {
+	if e.Answer == nil {
 		e.Answer = Toy
 	}
 	go func() {
 		for {
-			c, err := l.Accept()
+			c, err := e.Accept()
 			if err != nil {
 				return
 			}
 			e.mutex.Lock()
+			number := len(e.conns)
 			e.conns = append(e.conns, c)
 			e.mutex.Unlock()
-			go e.serve(c)
+			go e.serve(c, number)
 		}
 	}()
-	return e
 }
 
 // Toy answers each fetch with a result of two pages after some milliseconds.
@@ -107,9 +114,14 @@
 	}
 }
 
-func (e *Engine) serve(c net.Conn) {
+func (e *Engine) serve(c net.Conn, number int) {
 	defer c.Close()
 	in := bufio.NewReader(c)
+	if e.Late != nil {
+		if by := e.Late(number); by > 0 {
+			in = bufio.NewReader(readLate(c, by))
+		}
+	}
 	var writing sync.Mutex
 	for {
 		r, err := readArray(in)
