Slow start: an engine's age runs on our own clock from when its start was heard of

Cause: Router.cold subtracted startedAtMs, another machine's wall time, from ours. A clock that was stepped by an hour made a cold engine ten minutes old. Change: the time only names the start. Slow start lasts cold-ms on the monotonic clock from when a start was first heard of. Evidence: the torture rig now draws by how far each engine's clock is off, a second to an hour either way.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -89,7 +89,7 @@
 		}
 		r.largest = max(r.largest, e.memory)
 		if e.by == nil || e.started != e.StartedAt { // what was learned of the process before is void
-			e.started, e.health, e.reportAt, e.told = e.StartedAt, health{}, 0, amount{}
+			e.started, e.startHeardAt, e.health, e.reportAt, e.told = e.StartedAt, r.now, health{}, 0, amount{}
 			e.by = map[*ServiceGroup]*health{}
 			for _, g := range r.groups {
 				e.by[g] = &health{}
@@ -704,8 +704,10 @@
 	return !r.cold(e) || r.parts.Room(r.now, e.start(), b.likely)
 }
 
+// cold tells whether an engine may still be slow after its start. The time of the start is another machine's and may be off by
+// hours, so it only tells one start from another: slow start runs on our clock, from when the start was first heard of.
 func (r *Router) cold(e *Engine) bool {
-	return e.StartedAt > 0 && r.now < e.StartedAt+r.coldTime+0.5
+	return e.StartedAt != 0 && r.now < e.startHeardAt+r.coldTime
 }
 
 // fit: bounds, health and memory. An engine set aside is tried with one batch at a time once its time has
--- a/brain/types.go
+++ b/brain/types.go
@@ -112,7 +112,7 @@
 	ID        uint32
 	Phase     Phase
 	Size      float64 // a number without unit, to be compared with other engines'
-	StartedAt float64 // 0: long ago
+	StartedAt float64 // by another machine's clock, so that it only names the start; 0: long ago
 	Cell      int
 	Kind      int
 	Zone      int
@@ -219,8 +219,9 @@
 	report             Report
 	reportAt, probedAt float64 // when the report last changed, when a probe last went out
 	probing            bool
-	signAt             float64 // last sign of life
-	started            float64
+	signAt             float64                   // last sign of life
+	started            float64                   // StartedAt of the process that is known, and
+	startHeardAt       float64                   // when that was first heard of
 	health                                       // in all
 	by                 map[*ServiceGroup]*health // and for one group's batches; a restart voids it
 	told               amount                    // by the report: threads a core, share of memory
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -191,8 +191,8 @@
 var began = time.Now()
 
 // clock gives Unix seconds as they were at the start, and from then on only what has passed: a clock that is set back would
-// hold up all timers and make leases last, one that is set forward would end all that waits. It hurts where the clock was
-// wrong at the start: an engine's age is off by that until the next one.
+// hold up all timers and make leases last, one that is set forward would end all that waits. No time that another machine tells
+// is subtracted from it.
 func clock() float64 {
 	return float64(began.UnixMicro())/1e6 + time.Since(began).Seconds()
 }
--- a/internal/outlook/outlook.go
+++ b/internal/outlook/outlook.go
@@ -29,7 +29,7 @@
 	Name, Address, Zone, Kind string
 	Drains                    bool
 	Aside                     bool    // set aside by its health
-	StartedAt                 float64 // Unix seconds; 0: long ago
+	StartHeardAt              float64 // when its latest start was first heard of, by the clock of Fleet.Now; 0: long ago
 	Cores                     float64
 	Threads                   float64 // a core that are spoken for, as believed; below 0: nothing is known
 }
@@ -258,7 +258,7 @@
 	return out, admit
 }
 
-func (f *Fleet) cold(e *Engine) bool { return e.StartedAt > 0 && f.Now < e.StartedAt+f.Rules.ColdTime }
+func (f *Fleet) cold(e *Engine) bool { return e.StartHeardAt > 0 && f.Now < e.StartHeardAt+f.Rules.ColdTime }
 
 // bears is the work a second that a cold engine may be sent, on average: its pace right after a start, for how it grows is
 // not told, and the multiple that a burst may reach is kept for bursts.
--- a/internal/outlook/outlook_test.go
+++ b/internal/outlook/outlook_test.go
@@ -48,7 +48,7 @@
 
 func TestWhereOnlyColdOnesAreTheRestIsNotLetIn(t *testing.T) {
 	a := engine(1)
-	a.StartedAt = 999
+	a.StartHeardAt = 999
 	f := fleet(a)
 	f.Work = 100
 	r := Look(f).Routes[0]
@@ -87,7 +87,7 @@
 			e.Threads = rapid.Float64Range(-1, 6).Draw(t, "threads")
 			e.Aside, e.Drains = rapid.IntRange(0, 5).Draw(t, "aside") == 0, rapid.IntRange(0, 5).Draw(t, "drains") == 0
 			if rapid.Bool().Draw(t, "cold") {
-				e.StartedAt = 1000 - rapid.Float64Range(0, 20).Draw(t, "age")
+				e.StartHeardAt = 1000 - rapid.Float64Range(0, 20).Draw(t, "age")
 			}
 			all = append(all, e)
 		}
--- a/internal/torture/world.go
+++ b/internal/torture/world.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -47,6 +49,20 @@
 	*standin.Server
 	Engine
 	drains time.Duration // until it ends; 0: it does not drain
+	clock  time.Duration // how far the wall clock that tells its start is ahead of the routers'
+}
+
+// Wall clocks are stepped by so much, either way, and a third of them not at all.
+const (
+	leastStep   = time.Second
+	mostStep    = time.Hour
+	clockStream = 1 << 21 // of the seed's chances, one for each engine
+)
+
+// steppedClock draws how far a wall clock is ahead of another, each order of magnitude as likely as the next.
+func steppedClock(chance *rand.Rand) time.Duration {
+	step := time.Duration(float64(leastStep) * math.Pow(float64(mostStep)/float64(leastStep), chance.Float64()))
+	return time.Duration(chance.IntN(3)-1) * step
 }
 
 // Engine is what the list says of one that has been there.
@@ -65,6 +81,7 @@
 	}
 	if late {
 		e.Started = time.Now()
+		e.clock = steppedClock(rand.New(rand.NewPCG(p.Seed, clockStream+uint64(p.made))))
 	}
 	p.engines = append(p.engines, e)
 	p.were = append(p.were, e)
@@ -79,7 +96,7 @@
 			h := e.Host()
 			h.Zone, h.Draining = e.Zone, e.drains > 0
 			if !e.Started.IsZero() {
-				h.Started = e.Started.UnixMilli()
+				h.Started = e.Started.Add(e.clock).UnixMilli()
 			}
 			var err error
 			if h.Address, err = r.wayTo(e, h.Address); err != nil {
