List of engines: another start is a new process, be its time earlier or later

Cause: the follower kept the largest start that was ever told and passed over a drain of a smaller one. Change: a start that was not told before is that of the present process; where answers go on to agree on the list in force, its start counts again, so an old answer costs a slow start and no more. A drain of before the first told start ends with that start, as it did.

--- a/internal/directory/follower.go
+++ b/internal/directory/follower.go
@@ -60,7 +60,7 @@
 // engines may be sent to. It is a pure state machine; times are Unix seconds and come from its caller. It is not safe for
 // concurrent use.
 //
-// A drain that any answer has told holds, and so does a later start of an engine, whatever lists come after it under whatever
+// A drain that any answer has told holds, and so does a new start of an engine, whatever lists come after it under whatever
 // number: lists that are late, repeated, older than they claim to be or numbered by another start can add restrictions, never
 // lift one. What lifts them (a new engine, one that is ready again) has to be told by several answers in a row. So no single
 // answer can make the router send where it must not, or more than a cold engine bears, and none can hide the answers after it.
@@ -80,7 +80,7 @@
 	agreed    int // answers in a row with it
 	candidate *candidate
 	drains    map[string]drain   // by the engine's id
-	starts    map[string]float64 // the latest that was told, of engines in force
+	starts    map[string]*starts // of engines in force
 	counts    Counts
 }
 
@@ -114,7 +114,7 @@
 
 // NewFollower begins with the list of the configuration. The seed is for the numbers of questions.
 func NewFollower(known List, seed uint64, now float64) *Follower {
-	f := &Follower{ids: rand.New(rand.NewPCG(seed, 16)), due: now, heardAt: now, drains: map[string]drain{}, starts: map[string]float64{}}
+	f := &Follower{ids: rand.New(rand.NewPCG(seed, 16)), due: now, heardAt: now, drains: map[string]drain{}, starts: map[string]*starts{}}
 	f.adopt(known, fingerprint(known), now)
 	return f
 }
@@ -230,6 +230,7 @@
 		changed = f.candidate != nil
 		f.candidate, f.soon, f.confirmedAt, f.counts = nil, 0, now, Counts{}
 		f.agreed++
+		changed = f.confirmStarts() || changed
 		return Same, f.endDrains(now) || changed
 	}
 	f.agreed = 0
@@ -256,20 +257,36 @@
 func (f *Follower) adopt(list List, print uint64, now float64) {
 	f.noteDrains(f.current, now)
 	f.current, f.print, f.candidate = list, print, nil
-	starts := map[string]float64{}
+	heard := map[string]*starts{}
 	for _, e := range list.Engines {
-		starts[e.ID] = max(e.StartedAt, f.starts[e.ID])
+		known := f.starts[e.ID]
+		if known == nil {
+			known = &starts{}
+		}
+		known.hear(e.StartedAt)
+		heard[e.ID] = known
 	}
-	f.starts = starts
+	f.starts = heard
 	f.endDrains(now)
 }
 
+// confirmStarts goes back to the starts of the list in force once answers agree on it: an answer with another start was an old
+// one. It reports whether an engine's start is another by that.
+func (f *Follower) confirmStarts() (changed bool) {
+	if f.agreed < newerAnswers {
+		return false
+	}
+	for _, e := range f.current.Engines {
+		changed = f.starts[e.ID].confirm(e.StartedAt) || changed
+	}
+	return changed
+}
+
 // restrict takes from a list what counts at once, and reports whether anything of it is new.
 func (f *Follower) restrict(list List, now float64) (changed bool) {
 	for _, e := range list.Engines {
-		if at, there := f.starts[e.ID]; there && e.StartedAt > at {
-			f.starts[e.ID] = e.StartedAt
-			changed = true
+		if known := f.starts[e.ID]; known != nil {
+			changed = known.hear(e.StartedAt) || changed
 		}
 	}
 	return f.noteDrains(list, now) || changed
@@ -282,7 +299,7 @@
 			continue
 		}
 		known, there := f.drains[e.ID]
-		if there && known.startedAt > e.StartedAt {
+		if f.over(e.ID, e.StartedAt) {
 			continue
 		}
 		changed = changed || !there || known.startedAt != e.StartedAt
@@ -291,6 +308,13 @@
 	return changed
 }
 
+// over tells whether a process has surely ended: one that started long ago, once a start was told. Of two that were told nobody
+// knows which is the later one, so a drain of either holds.
+func (f *Follower) over(id string, start float64) bool {
+	known := f.starts[id]
+	return start == 0 && known != nil && known.present != 0
+}
+
 // endDrains forgets drains that no answer has told for long enough, and reports whether an engine is ready by that.
 func (f *Follower) endDrains(now float64) (changed bool) {
 	if len(f.drains) == 0 {
@@ -304,7 +328,7 @@
 		e, there := listed[id]
 		switch {
 		case there && e.Draining: // said by the list in force
-		case there && f.starts[id] > d.startedAt: // of a process that has ended
+		case there && f.over(id, d.startedAt):
 			delete(f.drains, id)
 		case there && now-d.saidAt >= drainEnds && f.agreed >= drainAnswers:
 			delete(f.drains, id)
@@ -316,7 +340,7 @@
 	return changed
 }
 
-// List gives the engines of the list in force, each with its latest start. One to which nothing new may be sent is told as
+// List gives the engines of the list in force, each with the start that was told last. One to which nothing new may be sent is told as
 // draining: by this list, by any answer before or since, or because it is missing from a list that is not confirmed yet.
 func (f *Follower) List() List {
 	out := List{Serial: f.current.Serial, Engines: slices.Clone(f.current.Engines)}
@@ -329,10 +353,10 @@
 	}
 	for i := range out.Engines {
 		e := &out.Engines[i]
-		e.StartedAt = max(e.StartedAt, f.starts[e.ID])
+		e.StartedAt = f.starts[e.ID].present
 		d, drains := f.drains[e.ID]
 		missing := there != nil && !there[e.ID]
-		if missing || drains && d.startedAt >= e.StartedAt {
+		if missing || drains && !f.over(e.ID, d.startedAt) {
 			e.Draining = true
 		}
 	}
--- a/internal/directory/follower_test.go
+++ b/internal/directory/follower_test.go
@@ -204,7 +204,8 @@
 // drain, and could read it, nothing is ready that drains; and a service that tells the truth is believed within some answers.
 func TestNoAnswersMakeADrainingEngineReady(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		state := map[string]int{} // 0 ready, 1 drains, 2 gone
+		state := map[string]int{}      // 0 ready, 1 drains, 2 gone
+		stamps := map[string]float64{} // of the starts, by clocks that are set back and ahead
 		for i := range 6 {
 			state[fmt.Sprint("s-", i)] = 0
 		}
@@ -212,25 +213,28 @@
 		truth := func() List {
 			l := List{Serial: serial}
 			for i := range len(state) {
-				id := fmt.Sprint("s-", i)
-				switch state[id] {
-				case 0:
-					l.Engines = append(l.Engines, one(id))
-				case 1:
-					l.Engines = append(l.Engines, leaving(id))
+				e := one(fmt.Sprint("s-", i))
+				e.StartedAt, e.Draining = stamps[e.ID], state[e.ID] == 1
+				if state[e.ID] < 2 {
+					l.Engines = append(l.Engines, e)
 				}
 			}
 			return l
 		}
 		a := follow(truth())
 		history := []List{list(rapid.Uint32Range(1, 9).Draw(t, "number before the start"), a.List().Engines...)}
-		told := map[string]bool{} // by any answer that was to an open question
+		type process struct {
+			id    string
+			stamp float64
+		}
+		told := map[process]bool{} // that it drains, by any answer that was to an open question
 		answer := func(id uint16, l List) {
 			if v, _ := a.Answer(id, l, a.now); v == Unmatched {
 				return
 			}
 			for _, e := range l.Engines {
-				told[e.ID] = told[e.ID] || e.Draining
+				p := process{e.ID, e.StartedAt}
+				told[p] = told[p] || e.Draining
 			}
 		}
 		var waiting []uint16
@@ -243,6 +247,14 @@
 				if state[id] < 2 {
 					state[id]++
 				}
+				if state[id] < 2 && rapid.Bool().Draw(t, "it starts again") {
+					state[id] = 0
+					for stamps[id] = float64(serial); ; {
+						if stamps[id] += rapid.Float64Range(-3600, 3600).Draw(t, "its clock"); stamps[id] != 0 && !told[process{id, stamps[id]}] {
+							break
+						}
+					}
+				}
 				if rapid.Bool().Draw(t, "a new one too") {
 					state[fmt.Sprint("s-", len(state))] = 0
 				}
@@ -265,7 +277,7 @@
 				answer(a.question(), truth())
 			}
 			for _, id := range a.ready() {
-				if told[id] && state[id] > 0 {
+				if told[process{id, stamps[id]}] && state[id] > 0 {
 					t.Fatalf("%s is ready, and a drain was told", id)
 				}
 			}
@@ -276,5 +288,13 @@
 		if got, want := fingerprint(a.current), fingerprint(truth()); got != want {
 			t.Fatalf("%v is believed, not %v", a.current, truth())
 		}
+		for range newerAnswers {
+			a.answer(truth())
+		}
+		for _, e := range a.List().Engines {
+			if stamps[e.ID] != 0 && e.StartedAt != stamps[e.ID] {
+				t.Fatalf("%s is believed to have started at %g, not %g", e.ID, e.StartedAt, stamps[e.ID])
+			}
+		}
 	})
 }
