Slow start: one part of a cold engine's budget is left for a second process under one name

Cause: the whole was divided by the number of routers alone. Each process uses its router's part, so N+1 processes used N+1 parts of N; without talk neither can know of the other. Change: the whole is divided into one part more than there are routers that share it, fixed and firm parts alike. More than one such process at a time on one engine is not covered.

--- a/internal/shares/machine.go
+++ b/internal/shares/machine.go
@@ -252,7 +252,7 @@
 	if m.Firm <= 0 || m.lost || !(m.told >= 1) || m.now < m.began+b.Rest+overlap {
 		return false
 	}
-	room := b.Whole * m.Firm / m.told
+	room := b.Whole * m.Firm / (m.told + spareParts)
 	for _, u := range b.firm {
 		if b.held() || u.at > m.now-b.Rest-overlap {
 			room -= u.work
--- a/internal/shares/shares.go
+++ b/internal/shares/shares.go
@@ -45,6 +45,10 @@
 // overlap is how much longer than its window a use counts: what is sent last may come late.
 const overlap = 0.1
 
+// spareParts is for processes beyond the routers that settings tell. A second one under a router's name and number, as while one
+// takes over from another, has that router's part once more, and neither can know of the other.
+const spareParts = 1
+
 // Plain is the fixed division.
 type Plain struct {
 	Fixed
@@ -58,7 +62,7 @@
 func NewPlain(f Fixed) *Plain {
 	p := &Plain{Fixed: f, spent: map[uint32][]use{}}
 	if f.Routers >= 1 {
-		p.part = f.Whole / min(f.Routers, float64(f.Sharers))
+		p.part = f.Whole / (min(f.Routers, float64(f.Sharers)) + spareParts)
 	}
 	return p
 }
