Stop: a router that ends sends nothing more to cold engines

Cause: from SIGTERM to its end, up to 3.7 s, a router went on using its part; the new process waits for a fall time only. Change: from SIGTERM on the module finds no room at cold engines; what waits goes to others or back to its client.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -456,6 +456,10 @@
 	return r.giveUp(b)
 }
 
+// Leave tells that the process is about to end. Nothing is sent to cold engines from now on: the next one under the same name may
+// run already, and goes by the same part of what they bear.
+func (r *Router) Leave() { r.leaving = true }
+
 func (r *Router) again(b *Batch) bool {
 	// A budget of its route that is spent ends the batch at once: others would wait behind it, and it would come
 	// back into the same trouble. It hurts where the trouble ends the next moment.
@@ -701,7 +705,7 @@
 
 // room: what a cold engine bears is divided among all routers, by a fixed division or by talk.
 func (r *Router) room(b *Batch, e *Engine) bool {
-	return !r.cold(e) || r.parts.Room(r.now, e.start(), b.likely)
+	return !r.cold(e) || !r.leaving && r.parts.Room(r.now, e.start(), b.likely)
 }
 
 // cold tells whether an engine may still be slow after its start. The time of the start is another machine's and may be off by
--- a/brain/types.go
+++ b/brain/types.go
@@ -297,6 +297,7 @@
 	largest                float64      // memory of any engine; 0: not told
 	fixed                  shares.Fixed // how work for cold engines is divided without talk
 	parts                  shares.Parts // our part of it
+	leaving                bool         // it is no longer used: another process may go by the same part
 	moved                  bool         // it goes to where it is wanted
 	lack                   *Engine      // of which a batch that was just looked at wants a part,
 	least                  float64      // and its figure
--- a/internal/outlook/outlook.go
+++ b/internal/outlook/outlook.go
@@ -258,7 +258,9 @@
 	return out, admit
 }
 
-func (f *Fleet) cold(e *Engine) bool { return e.StartHeardAt > 0 && f.Now < e.StartHeardAt+f.Rules.ColdTime }
+func (f *Fleet) cold(e *Engine) bool {
+	return e.StartHeardAt > 0 && f.Now < e.StartHeardAt+f.Rules.ColdTime
+}
 
 // bears is the work a second that a cold engine may be sent, on average: its pace right after a start, for how it grows is
 // not told, and the multiple that a burst may reach is kept for bursts.
--- a/internal/router/stop.go
+++ b/internal/router/stop.go
@@ -17,6 +17,7 @@
 		return
 	}
 	r.stopAt = r.now
+	r.brain.Leave()
 	r.log(Info, "stopping", "open", len(r.batches), "clients", len(r.clients))
 	for _, c := range r.inOrder() {
 		r.do(TellClient{c.number, traffic.NoMore{}})
