Attempts: where second copies are forbidden the next one waits for proof that the first has ended

Cause: giving an attempt up counted as its end at once. The word travels on the connection of the attempt, the next attempt on another one, and nothing orders the two; an engine that reads the first late has both. Change: an attempt stays out until it is proven over: its own final answer, the answer to a command written behind 'abort' on the same connection, the attention acknowledged, or its connection ended by the engine. An end that we have made proves nothing. Without proof within a second the request gets its final answer. The guard holds the same by a ledger of its own and counts what would break it. Where copies are allowed nothing changes. Stand-in and emulated engines answer a page of a query they don't know with an error, as the protocol's page says.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -208,7 +208,8 @@
 		e.Limit.Ended(d.sample(r.now, took, work))
 	}
 	r.heard(e, rep)
-	doubt := end == TimedOut || end == Broken || end == Withdrawn
+	doubt := end == TimedOut || end == Broken || end == Withdrawn || end == Unconfirmed
+	b.unconfirmed = b.unconfirmed || end == Unconfirmed
 	if doubt {
 		b.lane.restTo, b.lane.restBy = r.now+r.settle, b
 	}
@@ -339,7 +340,7 @@
 				h.bad, h.row, h.badAt = h.bad+1, h.row+1, r.now
 			}
 			fallthrough
-		case TimedOut:
+		case TimedOut, Unconfirmed:
 			failing := h.row >= rowMost || h.row >= 3 && h.bad > h.good && d.engine.asideUntil == 0
 			if r.now >= h.asideUntil && (failing || h.asideUntil > 0) {
 				r.aside(d.engine, h, "failing")
@@ -463,7 +464,7 @@
 func (r *Router) again(b *Batch) bool {
 	// A budget of its route that is spent ends the batch at once: others would wait behind it, and it would come
 	// back into the same trouble. It hurts where the trouble ends the next moment.
-	return len(b.dispatches) < r.tries(b) && r.harmless(b, r.tick) && (b.Out == 0 || r.load < copyLoad) &&
+	return !b.unconfirmed && len(b.dispatches) < r.tries(b) && r.harmless(b, r.tick) && (b.Out == 0 || r.load < copyLoad) &&
 		(len(b.dispatches) == 0 || b.Route.May(r.now) && r.all.May(r.now))
 }
 
--- a/brain/seen.go
+++ b/brain/seen.go
@@ -52,6 +52,9 @@
 // Budget brings the operators' budget of further dispatches of all batches; nil: none.
 func (r *Router) Budget(all *limits.Budget) { r.all = all }
 
+// Until is when a batch must have its final answer, by the module's clock in seconds.
+func (b *Batch) Until() float64 { return b.limitAt }
+
 // Demand is the work that a batch was estimated to need when it was taken, in seconds.
 func (b *Batch) Demand() float64 { return b.demand }
 
--- a/brain/types.go
+++ b/brain/types.go
@@ -148,7 +148,8 @@
 // Ending is how a dispatch ended.
 type Ending uint8
 
-// The endings; TurnedAway, Unconnected and NotSent prove that it never ran.
+// The endings; TurnedAway, Unconnected and NotSent prove that it never ran. Hosts tell an ending once the attempt is known to have
+// ended at its engine, or tell that it is Unconfirmed; a Cancel only asks for that. Until then it is out.
 const (
 	Errored Ending = iota
 	Returned
@@ -158,6 +159,7 @@
 	Broken
 	Withdrawn
 	NotSent
+	Unconfirmed // ours is over and its engine may still be at it: nothing is sent beside that where copies are forbidden
 )
 
 // Note is news of a dispatch that is out.
@@ -247,6 +249,7 @@
 	lane                         *lane
 	bound                        *Engine // may have run there
 	boundAt                      float64
+	unconfirmed                  bool // an attempt of it may still be out
 }
 
 type dispatch struct {
--- a/internal/emulator/sim.go
+++ b/internal/emulator/sim.go
@@ -563,6 +563,8 @@
 			e.dispatch(c, o, b)
 		case traffic.GiveUp:
 			e.giveUp(c, o.ID)
+		case traffic.AskPage: // results have one page, and that was told
+			c.reply(&traffic.Reply{ID: o.ID, Word: traffic.Broke, Pages: -1, Page: -1, Work: -1, Memory: -1})
 		case traffic.Probe:
 			s.after(0.0005, func() {
 				if e.up && e.life == c.life {
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -20,6 +20,7 @@
 	SendAfterEnd    Violation = iota // an attempt of a request that has its final answer, or was cancelled
 	SendNowhere                      // an attempt on a connection that is not up
 	RepeatOnceOnly                   // a second attempt of a once-only request whose first may have run
+	SecondAttempt                    // a further attempt beside one that may be out, where that is forbidden
 	SecondAnswer                     // an answer for a request that has ended, or that nobody asked
 	CloseUnanswered                  // a client's connection closed by us with requests open on it
 	EndUnanswered                    // the router's end with requests open
@@ -28,7 +29,7 @@
 )
 
 var violationNames = [Violations]string{"send after end", "send on a connection that is not up", "repeat of a once-only request",
-	"second answer", "close with open requests", "end with open requests", "ready after the end"}
+	"second attempt beside one that may be out", "second answer", "close with open requests", "end with open requests", "ready after the end"}
 
 func (v Violation) String() string { return violationNames[v] }
 
@@ -58,7 +59,7 @@
 
 // request is one that is open.
 type request struct {
-	attempts map[attempt]bool
+	attempts map[attempt]bool // whether it may still be out
 }
 
 // client is a connection of one.
@@ -67,6 +68,12 @@
 	last uint32              // the highest stream taken: streams count up
 }
 
+// engine is a connection to one.
+type engine struct {
+	out     map[string]*request // whose attempts are out there, by id
+	givenUp map[string]bool     // ids that the engine is told to give up, and has not shown to have
+}
+
 // Counts is what has become of requests since the start.
 type Counts struct {
 	Taken, Answered, Cancelled, Gone int
@@ -84,14 +91,14 @@
 // Guard is the ledger.
 type Guard struct {
 	clients map[uint64]*client
-	engines map[uint64]map[string]*request // by connection that is up: whose attempts are out there, by id
+	engines map[uint64]*engine // by connection that is up
 	ended   bool
 	counts  Counts
 }
 
 // New makes an empty ledger.
 func New() *Guard {
-	return &Guard{clients: map[uint64]*client{}, engines: map[uint64]map[string]*request{}}
+	return &Guard{clients: map[uint64]*client{}, engines: map[uint64]*engine{}}
 }
 
 // Counts tells what has become of requests since the start.
@@ -143,11 +150,57 @@
 }
 
 // EngineUp notes a connection to an engine.
-func (g *Guard) EngineUp(connection uint64) { g.engines[connection] = map[string]*request{} }
+func (g *Guard) EngineUp(connection uint64) {
+	g.engines[connection] = &engine{out: map[string]*request{}, givenUp: map[string]bool{}}
+}
 
-// EngineGone notes its end. What was out there may have run.
+// EngineGone notes its end. What was out there may have run, and may still be out.
 func (g *Guard) EngineGone(connection uint64) { delete(g.engines, connection) }
 
+// EngineEnded notes that an engine has ended a connection: it has given up all that was out there, which may have run.
+func (g *Guard) EngineEnded(connection uint64) {
+	if e := g.engines[connection]; e != nil {
+		for id := range e.out {
+			g.Over(id, connection)
+		}
+	}
+}
+
+// GivesUp notes that an engine is told to give an attempt up.
+func (g *Guard) GivesUp(id string, connection uint64) {
+	if e := g.engines[connection]; e != nil && e.out[id] != nil {
+		e.givenUp[id] = true
+	}
+}
+
+// Paged notes a page of a result. The engine has read what was written before it was asked for that.
+func (g *Guard) Paged(id string, connection uint64) {
+	if e := g.engines[connection]; e != nil && e.givenUp[id] {
+		g.Over(id, connection)
+	}
+}
+
+// Settled notes that an engine has ended all that it was told to give up on a connection.
+func (g *Guard) Settled(connection uint64) {
+	if e := g.engines[connection]; e != nil {
+		for id := range e.givenUp {
+			g.Over(id, connection)
+		}
+	}
+}
+
+// SendAlone asks whether an attempt may leave of a request that must not have two out. Send is asked after it.
+func (g *Guard) SendAlone(r Request) error {
+	if c := g.clients[r.Client]; c != nil && c.open[r.Stream] != nil {
+		for _, out := range c.open[r.Stream].attempts {
+			if out {
+				return g.broken(SecondAttempt, r)
+			}
+		}
+	}
+	return nil
+}
+
 // Send asks whether an attempt may leave: its request is open, the connection is up, and a once-only request has no other
 // attempt that may have run. It notes the attempt.
 func (g *Guard) Send(r Request, id string, connection uint64, onceOnly bool) error {
@@ -165,20 +218,31 @@
 		return g.broken(RepeatOnceOnly, r)
 	}
 	open.attempts[attempt{connection, id}] = true
-	g.engines[connection][id] = open
+	g.engines[connection].out[id] = open
 	return nil
 }
 
 // NeverRan notes that an attempt surely did not run: it was not written, or its engine has turned it away.
 func (g *Guard) NeverRan(id string, connection uint64) {
-	if open := g.engines[connection][id]; open != nil {
-		delete(open.attempts, attempt{connection, id})
+	e := g.engines[connection]
+	if e == nil || e.out[id] == nil {
+		return
 	}
-	g.Over(id, connection)
+	delete(e.out[id].attempts, attempt{connection, id})
+	delete(e.out, id)
+	delete(e.givenUp, id)
 }
 
 // Over notes that an attempt has ended at its engine.
-func (g *Guard) Over(id string, connection uint64) { delete(g.engines[connection], id) }
+func (g *Guard) Over(id string, connection uint64) {
+	e := g.engines[connection]
+	if e == nil || e.out[id] == nil {
+		return
+	}
+	e.out[id].attempts[attempt{connection, id}] = false
+	delete(e.out, id)
+	delete(e.givenUp, id)
+}
 
 // Answer asks whether a final answer may be told, and notes it. An answer for a client that has gone goes nowhere, and is
 // nobody's fault.
--- a/internal/guard/guard_test.go
+++ b/internal/guard/guard_test.go
@@ -106,3 +106,36 @@
 		}
 	})
 }
+
+// Where no two attempts of a request may be out, only what its engine has shown ends one.
+func TestAFurtherAttemptWaitsForTheEndOfTheOneBefore(t *testing.T) {
+	for name, c := range map[string]struct {
+		ends  func(g *Guard)
+		ended bool
+	}{
+		"nothing came":                  {func(*Guard) {}, false},
+		"it is told to give it up":      {func(g *Guard) { g.GivesUp("a", 7) }, false},
+		"a page comes of itself":        {func(g *Guard) { g.Paged("a", 7) }, false},
+		"our side ends the connection":  {func(g *Guard) { g.GivesUp("a", 7); g.EngineGone(7) }, false},
+		"another connection is settled": {func(g *Guard) { g.GivesUp("a", 7); g.Settled(8) }, false},
+		"a page comes once it is told":  {func(g *Guard) { g.GivesUp("a", 7); g.Paged("a", 7) }, true},
+		"its engine has settled":        {func(g *Guard) { g.GivesUp("a", 7); g.Settled(7) }, true},
+		"its engine has ended it":       {func(g *Guard) { g.Over("a", 7) }, true},
+		"its engine turned it away":     {func(g *Guard) { g.NeverRan("a", 7) }, true},
+		"its engine ends the connection": {func(g *Guard) {
+			g.EngineEnded(7)
+			g.EngineGone(7)
+		}, true},
+	} {
+		g, r := begun(), Request{1, 1}
+		g.Taken(r)
+		assert.NoError(t, g.SendAlone(r), name)
+		assert.NoError(t, g.Send(r, "a", 7, false), name)
+		c.ends(g)
+		if err := g.SendAlone(r); c.ended {
+			assert.NoError(t, err, name)
+		} else {
+			assert.Equal(t, SecondAttempt, violation(err), name)
+		}
+	}
+}
--- a/internal/loop/invariants.go
+++ b/internal/loop/invariants.go
@@ -26,8 +26,12 @@
 		switch e.Reply.Word {
 		case traffic.Full, traffic.Late:
 			l.guard.NeverRan(e.Reply.ID, e.Connection)
-		case traffic.Broke, traffic.Whole:
+		case traffic.Broke, traffic.Whole, traffic.Done:
 			l.guard.Over(e.Reply.ID, e.Connection)
+		case traffic.More:
+			l.guard.Paged(e.Reply.ID, e.Connection)
+		case traffic.Free:
+			l.guard.Settled(e.Connection)
 		}
 	}
 }
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -252,14 +252,16 @@
 
 // gone: a connection has ended without our asking for it, if it is still there.
 func (l *Loop) gone(p *peer, err error) {
+	end := endOf(err)
+	if p.kind == toEngine && end.ByPeer() {
+		l.guard.EngineEnded(p.number)
+	}
 	l.drop(p)
 	if p.lingers {
 		l.forgetLinger(p)
 		return
 	}
-	end := router.ClosedByPeer
-	if err != nil && !errors.Is(err, io.EOF) {
-		end = router.ResetByPeer
+	if end != router.ClosedByPeer {
 		l.log.Info("connection failed", zap.Stringer("kind", p.kind), zap.Uint64("connection", p.number), zap.Int("unread", p.unread), zap.Error(err))
 	}
 	switch {
@@ -272,6 +274,17 @@
 	}
 }
 
+// endOf tells by its error who has ended a connection.
+func endOf(err error) router.End {
+	switch {
+	case err == nil, errors.Is(err, io.EOF):
+		return router.ClosedByPeer
+	case errors.Is(err, syscall.ECONNRESET), errors.Is(err, syscall.EPIPE):
+		return router.ResetByPeer
+	}
+	return router.Unreachable
+}
+
 func (l *Loop) drop(p *peer) {
 	if p.kind == toClient {
 		l.guard.ClientGone(p.number)
--- a/internal/loop/orders.go
+++ b/internal/loop/orders.go
@@ -1,6 +1,8 @@
 package loop
 
 import (
+	"errors"
+
 	"go.uber.org/zap"
 
 	"pitchfield/internal/guard"
@@ -15,6 +17,9 @@
 func (l *Loop) order(p *peer, e router.OrderEngine) {
 	request, is := e.What.(*traffic.Dispatch)
 	if !is {
+		if word, is := e.What.(traffic.GiveUp); is {
+			l.guard.GivesUp(word.ID, e.Connection)
+		}
 		p.engine.Order(l.out, e.What)
 		l.write(p, l.out)
 		return
@@ -27,9 +32,14 @@
 		l.refuseUnread(p, request)
 		return
 	}
-	if err := l.guard.Send(guard.Request{Client: e.For.Client, Stream: e.For.Stream}, request.ID, e.Connection, e.For.OnceOnly); err != nil {
+	if err := l.maySend(e, request.ID); err != nil {
 		l.prevented(err, zap.String("id", request.ID), zap.Uint64("connection", e.Connection))
-		l.post(router.OrderRefused{Connection: e.Connection, ID: request.ID, Why: router.OrderInvalid})
+		why := router.OrderInvalid
+		var gone *guard.GoneError
+		if errors.As(err, &gone) {
+			why = router.OrderGone
+		}
+		l.post(router.OrderRefused{Connection: e.Connection, ID: request.ID, Why: why})
 		return
 	}
 	p.engine.Order(l.out, e.What)
@@ -42,6 +52,17 @@
 	l.orderWritten(request.ID, l.stepAt)
 }
 
+// maySend asks the guard whether an attempt may leave.
+func (l *Loop) maySend(e router.OrderEngine, id string) error {
+	request := guard.Request{Client: e.For.Client, Stream: e.For.Stream}
+	if e.For.Single {
+		if err := l.guard.SendAlone(request); err != nil {
+			return err
+		}
+	}
+	return l.guard.Send(request, id, e.Connection, e.For.OnceOnly)
+}
+
 // refuseUnread gives a request back whose engine does not read, and looks after the engine until it does.
 func (l *Loop) refuseUnread(p *peer, request *traffic.Dispatch) {
 	if _, known := l.behind[p]; !known {
--- a/internal/router/connections.go
+++ b/internal/router/connections.go
@@ -45,6 +45,7 @@
 
 func (r *Router) settled(l *line) {
 	l.Close(settleName, false, r.now)
+	r.withdrawalsSettled(l)
 	r.rest(l)
 }
 
@@ -227,7 +228,7 @@
 	for _, d := range dispatches {
 		how := outcomes[end].unwritten
 		if d.written {
-			how = outcomes[end].written
+			how = r.brokenOff(d, end)
 		}
 		r.ended(d, how, nil)
 	}
--- a/internal/router/dispatches.go
+++ b/internal/router/dispatches.go
@@ -43,6 +43,9 @@
 	size         int  // of the rows that are there
 	streams      bool // rows of it have gone out to the client
 	held         bool // the engine's connection is not read, since the client is slow
+	answered     bool // its engine has ended it, with what can't be passed on
+	withdrawn    bool // its engine is told that it is given up, and has not shown that it has read that
+	withdrawnAs  brain.Ending
 	work, memory float64
 	report       *brain.Report
 	timer        *timer
@@ -85,18 +88,18 @@
 		w.written, w.wroteAt = true, r.now
 		r.log(Debug, "written", "id", w.batch.id, "no", w.no, "engine", w.engine.name, "address", w.engine.address,
 			"connection", l.Number, "waited", r.now-w.sentAt, "serial", r.follower.Serial())
-		r.do(OrderEngine{l.Number, w.order(r.now), min(w.by, r.now+r.decisionHolds()), w.batch.origin()})
+		r.do(OrderEngine{l.Number, w.order(r.now), min(w.by, r.now+r.decisionHolds()), w.batch.origin(!r.settings.Settings.MayCopy)})
 	case *probe:
 		r.do(OrderEngine{l.Number, traffic.Probe{Tag: w.tag, Load: r.settings.Settings.Loads}, math.Inf(1), Origin{}})
 	}
 }
 
 // origin is what its attempts are made for. Nobody waits for a batch without a client, and nothing may be sent for it.
-func (b *batch) origin() Origin {
+func (b *batch) origin(single bool) Origin {
 	if b.client == nil {
 		return Origin{}
 	}
-	return Origin{Client: b.client.number, Stream: b.stream, OnceOnly: b.Group.Effect == brain.OnceOnly}
+	return Origin{Client: b.client.number, Stream: b.stream, OnceOnly: b.Group.Effect == brain.OnceOnly, Single: single}
 }
 
 // orderRefused takes back a request that was not written. It never ran. Either the part of the fleet's budget by which it was
@@ -180,13 +183,16 @@
 
 // giveUp ends a dispatch of ours before the engine did.
 func (r *Router) giveUp(d *dispatch, how brain.Ending) {
-	if d.ended {
+	if d.ended || d.withdrawn {
 		return
 	}
 	l := d.line
 	if d.held {
 		r.hold(d, false)
 	}
+	if d.written && r.mustConfirm(d) && r.withdraw(d, how) {
+		return
+	}
 	if d.written {
 		r.order(l, traffic.GiveUp{ID: d.batch.id})
 	} else {
@@ -257,6 +263,9 @@
 	if reply.Why != "" {
 		d.batch.why = reply.Why
 	}
+	if d.withdrawn && r.withdrawnSaid(d, reply) {
+		return
+	}
 	switch reply.Word {
 	case traffic.Done:
 		if d.pages != nil {
@@ -340,6 +349,7 @@
 	r.log(Warn, "unusable answer", "engine", d.engine.name, "word", int(reply.Word), "why", reply.Bad,
 		"bytes", reply.Rows.Len())
 	reply.Rows.Release()
+	d.answered = reply.Word != traffic.Unknown
 	r.closeLine(d.line, BadInput)
 }
 
--- a/internal/router/end.go
+++ b/internal/router/end.go
@@ -12,7 +12,8 @@
 	NoDescriptor             // we may hold no more sockets
 	Unaddressed              // the list names no address
 	ClosedByPeer             // in order
-	ResetByPeer              // or any other error of the socket
+	ResetByPeer              // by its process, its machine or something on the way
+	Unreachable              // an error that only our side knows of: no word of the peer in time, or no way there
 	BadInput                 // what came can't be read
 	Unread                   // the peer does not read what we write
 	NoMemory                 // what is not whole yet takes too much
@@ -28,7 +29,7 @@
 )
 
 var endNames = [ends]string{"refused dial", "dial timed out", "no descriptor", "unaddressed", "closed by peer",
-	"reset by peer", "bad input", "unread", "no memory", "closed idle", "silent", "crowded",
+	"reset by peer", "unreachable", "bad input", "unread", "no memory", "closed idle", "silent", "crowded",
 	"closed suspect", "left address", "unanswered", "login refused", "stopped"}
 
 func (e End) String() string { return endNames[e] }
@@ -36,6 +37,9 @@
 // ours tells an end that this router has made from one that its peer or the network has.
 func (e End) ours() bool { return e >= BadInput || e == NoDescriptor || e == Unaddressed }
 
+// ByPeer tells an end that the peer has made, and so knows of: it has given up all that was open there.
+func (e End) ByPeer() bool { return e == ClosedByPeer || e == ResetByPeer }
+
 // outcomes is the one table from an end to what the module is told of a dispatch that was open on the connection.
 // Written: some of its bytes may have left, and from then on nothing proves that it never ran.
 var outcomes = [ends]struct{ written, unwritten brain.Ending }{
@@ -45,6 +49,7 @@
 	Unaddressed:   {brain.Broken, brain.Unconnected},
 	ClosedByPeer:  {brain.Broken, brain.Unconnected},
 	ResetByPeer:   {brain.Broken, brain.Unconnected},
+	Unreachable:   {brain.Broken, brain.Unconnected},
 	BadInput:      {brain.Broken, brain.NotSent},
 	Unread:        {brain.Broken, brain.NotSent},
 	NoMemory:      {brain.Broken, brain.NotSent},
--- a/internal/router/events.go
+++ b/internal/router/events.go
@@ -110,6 +110,7 @@
 	Client   uint64 // its connection
 	Stream   uint32
 	OnceOnly bool // it must not have an effect twice
+	Single   bool // no two attempts of it may be out
 }
 
 // Refusal is why a request was not written.
@@ -119,7 +120,8 @@
 const (
 	OrderLate    Refusal = iota // the time until which it was allowed has passed: the process stood still
 	OrderUnread                 // bytes before it have not been read by the engine; EngineRead tells when they have
-	OrderInvalid                // it would have broken an invariant, or its client has just gone
+	OrderGone                   // its client has just gone
+	OrderInvalid                // it would have broken an invariant
 )
 
 // Effect is one thing that the router asks for, in its order. Rows and chains in it are the doer's from then on, but
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -307,6 +307,8 @@
 			r.closeLine(l, ClosedSuspect)
 		}
 		r.probed(what, false, nil, true)
+	case withdrawalDue:
+		r.withdrawalExpired(what.dispatch)
 	case missingPages:
 		r.pagesDue(what.dispatch)
 	case halfReply:
--- /dev/null
+++ b/internal/router/withdrawal.go
@@ -0,0 +1,107 @@
+package router
+
+import (
+	"pitchfield/brain"
+	"pitchfield/internal/traffic"
+)
+
+// Where second copies are forbidden a request must not have two attempts out, and an attempt is out until its engine has ended it or
+// has read that it is given up. That word travels on the connection of the attempt, with that connection's delay and unread bytes; a
+// further attempt may travel on another one. So it waits for a proof that the first has ended:
+//
+//   - any final answer to the attempt;
+//   - the engine's answer to a command that was written after the word on the same connection: a page of the result in RESP, the
+//     acknowledged attention in TDS;
+//   - the end of the connection by its engine, which gives up all that was open on it.
+//
+// An end of the connection that we have made, or that only our side knows of, proves nothing. Without a proof in time the request
+// gets no further attempt but its final answer.
+
+// confirmWithin is how long an engine may take to show that it has read that an attempt is given up, in seconds.
+const confirmWithin = 1.0
+
+// firstPage is asked for to have an answer: an engine that has given a request up says that it knows no such page.
+const firstPage = 1
+
+// withdrawalDue is due when a withdrawal must be confirmed.
+type withdrawalDue struct{ *dispatch }
+
+// mustConfirm tells whether the end of a dispatch has to be proven before the module hears of it. Where nothing is sent again
+// whatever comes of it, the final answer need not wait.
+func (r *Router) mustConfirm(d *dispatch) bool {
+	return !r.settings.Settings.MayCopy && d.batch.client != nil && d.batch.Group.Effect != brain.OnceOnly && !d.streams
+}
+
+// withdraw tells an engine that a dispatch is given up, and keeps it open until the engine has shown that it has read that. It
+// reports whether there is time for that.
+func (r *Router) withdraw(d *dispatch, how brain.Ending) bool {
+	by := min(r.now+confirmWithin, d.batch.Until())
+	if by <= r.now || !d.line.Up {
+		return false
+	}
+	l := d.line
+	d.withdrawn, d.withdrawnAs = true, how
+	r.timers.stop(d.timer)
+	r.timers.stop(d.paging)
+	d.timer = r.timers.add(by, withdrawalDue{d})
+	r.order(l, traffic.GiveUp{ID: d.batch.id})
+	if l.engine.speaks.Alone {
+		r.settle(l)
+		return true
+	}
+	r.order(l, traffic.AskPage{ID: d.batch.id, Page: firstPage})
+	l.Suspect = l.Suspect || l.Heard <= d.wroteAt
+	return true
+}
+
+// withdrawnSaid takes what an engine says of a dispatch that is given up, where that proves its end. All else is taken as ever: a
+// result that was on its way still is the answer.
+func (r *Router) withdrawnSaid(d *dispatch, reply *traffic.Reply) (proven bool) {
+	switch {
+	case reply.Word == traffic.Broke, reply.Word == traffic.More && d.pages == nil:
+		reply.Rows.Release()
+		r.endWithdrawn(d, d.withdrawnAs)
+		return true
+	}
+	return false
+}
+
+// withdrawalsSettled: an engine that takes one batch at a time has ended what was given up on a connection.
+func (r *Router) withdrawalsSettled(l *line) {
+	for _, what := range l.Opens() {
+		if d, is := what.(*dispatch); is && d.withdrawn {
+			r.endWithdrawn(d, d.withdrawnAs)
+		}
+	}
+}
+
+// withdrawalExpired: nothing has shown in time that a dispatch has ended.
+func (r *Router) withdrawalExpired(d *dispatch) {
+	if d.ended {
+		return
+	}
+	r.log(Info, "engine has not shown that an attempt is given up", "id", d.batch.id, "no", d.no, "engine", d.engine.name,
+		"connection", d.line.Number)
+	l := d.line
+	silent := l.Heard <= d.wroteAt
+	r.endWithdrawn(d, brain.Unconfirmed)
+	if silent && r.connections[l.Number] == l {
+		r.suspect(l)
+	}
+}
+
+// endWithdrawn tells the module of the end of a dispatch that was given up.
+func (r *Router) endWithdrawn(d *dispatch, how brain.Ending) {
+	l := d.line
+	r.ended(d, how, d.report)
+	l.Close(d.batch.id, true, r.now)
+	r.rest(l)
+}
+
+// brokenOff is how a dispatch ends whose bytes may have left and whose connection has ended.
+func (r *Router) brokenOff(d *dispatch, end End) brain.Ending {
+	if r.mustConfirm(d) && !d.answered && !end.ByPeer() {
+		return brain.Unconfirmed
+	}
+	return outcomes[end].written
+}
--- a/internal/standin/resp.go
+++ b/internal/standin/resp.go
@@ -4,8 +4,10 @@
 	"bufio"
 	"fmt"
 	"net"
+	"strconv"
 	"strings"
 	"sync"
+	"time"
 )
 
 const (
@@ -28,6 +30,7 @@
 	hush   bool
 	pages  map[string][]string // by id, for later
 	runs   map[string]*Run     // by id
+	late   time.Duration       // by which it is read late
 }
 
 func (c *respConn) say(parts ...string) {
@@ -59,9 +62,12 @@
 func serveRESP(s *Server, conn net.Conn) {
 	c := &respConn{Conn: conn, server: s, pages: map[string][]string{}, runs: map[string]*Run{}}
 	in := bufio.NewReader(conn)
-	if s.ledger.GivesUp {
-		defer c.giveUp()
+	if s.Late != nil {
+		if c.late = s.Late(); c.late > 0 {
+			in = bufio.NewReader(readLate(conn, c.late))
+		}
 	}
+	defer c.ended()
 	for {
 		r, err := readArray(in)
 		if err != nil || len(r) < 2 {
@@ -72,16 +78,23 @@
 			if len(r) < 4 {
 				return
 			}
-			run := Run{Engine: s.Name, ID: r[1], Text: r[3]}
+			run := Run{Engine: s.Name, ID: r[1], Text: r[3], Late: c.late}
 			for _, f := range strings.Split(r[2], ",") {
 				switch name, value, _ := strings.Cut(f, "="); name {
 				case "queue":
 					run.Group = value
 				case "uniq":
 					run.Mark = value
+				case "budget":
+					ms, _ := strconv.Atoi(value)
+					run.Budget = time.Duration(ms) * time.Millisecond
 				}
 			}
-			go c.play(s, run)
+			begun := s.ledger.begin(run)
+			c.mutex.Lock()
+			c.runs[begun.ID] = begun
+			c.mutex.Unlock()
+			go c.play(s, begun)
 		case "more":
 			c.mutex.Lock()
 			pages := c.pages[r[1]]
@@ -90,6 +103,8 @@
 			fmt.Sscan(r[2], &n) //nolint:errcheck
 			if n > 0 && n < len(pages) {
 				c.say(r[1], "MORE", "sheet="+r[2], pages[n])
+			} else {
+				c.say(r[1], "BROKE", "-", "")
 			}
 		case "done", "abort":
 			c.mutex.Lock()
@@ -97,7 +112,7 @@
 			run := c.runs[r[1]]
 			c.mutex.Unlock()
 			if run != nil && r[0] == "abort" {
-				run.giveUp()
+				s.ledger.giveUp(run)
 			}
 		case "alive", "stats":
 			used := "0.1"
@@ -111,26 +126,35 @@
 	}
 }
 
-// giveUp stops all that runs for the connection.
-func (c *respConn) giveUp() {
+// ended: nothing is out on the connection any more, and where engines give up what runs for one, it stops.
+func (c *respConn) ended() {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	for _, r := range c.runs {
-		r.giveUp()
+		if c.server.ledger.GivesUp {
+			c.server.ledger.giveUp(r)
+		}
+		c.server.ledger.over(r)
+	}
+}
+
+// end says how a batch has ended, in a whole answer.
+func (c *respConn) end(r *Run, answer string) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if !c.hush && !c.server.silent() {
+		c.server.ledger.over(r) // before it can be known elsewhere
+		fmt.Fprint(c, answer)
 	}
 }
 
-func (c *respConn) play(s *Server, run Run) {
-	r := s.ledger.begin(run)
+func (c *respConn) play(s *Server, r *Run) {
 	defer s.ledger.answered(r)
 	if r.Act.Deed == TurnAway {
 		s.ledger.end(r)
-		c.say(r.ID, "WAIT", "-", "")
+		c.end(r, array([]string{r.ID, "WAIT", "-", ""}))
 		return
 	}
-	c.mutex.Lock()
-	c.runs[r.ID] = r
-	c.mutex.Unlock()
 	whole := r.work()
 	s.ledger.end(r)
 	if !whole {
@@ -150,9 +174,9 @@
 	answer := array([]string{r.ID, "DONE", fmt.Sprintf("sheets=%d,toil=%d,room=%d", len(pages), max(r.Act.After.Milliseconds(), 1), roomMB), pages[0]})
 	switch r.Act.Deed {
 	case Serve:
-		c.raw(answer, false)
+		c.end(r, answer)
 	case Fail:
-		c.say(r.ID, "BROKE", "-", "")
+		c.end(r, array([]string{r.ID, "BROKE", "-", ""}))
 	case Drop:
 		c.Close()
 	case Cut:
--- a/internal/standin/tds.go
+++ b/internal/standin/tds.go
@@ -84,7 +84,7 @@
 			case traffic.Cancel:
 				c.stream = 0
 				if c.run != nil {
-					c.run.giveUp()
+					s.ledger.giveUp(c.run)
 				}
 			}
 		}
@@ -132,7 +132,7 @@
 	}
 	c.mutex.Lock()
 	if c.run = r; c.stream != stream {
-		r.giveUp()
+		s.ledger.giveUp(r)
 	}
 	c.mutex.Unlock()
 	done := r.work()
