Guard: a request whose attempt is withheld gets its final answer at once

Seen by reading, in the list of faults that no entry held: what the guard withholds was decided anew at each turn, with a line of log each, until the request's time was over. Cause: the refusal of an order came back as 'late', which is decided anew. Change: an attempt that would break an invariant ends its request with an error, which promises nothing; a client that has just gone is told apart from that. Evidence: ARequestThatTheGuardWithholdsGetsItsFinalAnswer has no answer without the change.

--- a/internal/router/dispatches.go
+++ b/internal/router/dispatches.go
@@ -118,6 +118,8 @@
 	switch {
 	case d.batch.client == nil:
 		r.giveUp(d, brain.Withdrawn)
+	case e.Why == OrderInvalid:
+		r.abandon(d)
 	case e.Why == OrderUnread:
 		l.Unread = true
 		l.queue = append(l.queue, d)
@@ -126,6 +128,18 @@
 	}
 }
 
+// abandon ends a request of which an attempt would have broken an invariant. Decided anew it would be withheld again, until its
+// time is over, so it gets its final answer: an error, which promises nothing.
+func (r *Router) abandon(d *dispatch) {
+	b := d.batch
+	r.expired(d)
+	if b.client != nil {
+		r.brain.Left(b.Batch)
+		b.why = "the router's state is in doubt"
+		r.answer(b, traffic.Errored, 0)
+	}
+}
+
 func (r *Router) expired(d *dispatch) {
 	r.log(Warn, "request is taken back, it was not written", "id", d.batch.id, "engine", d.engine.name, "waited", r.now-d.sentAt)
 	d.written = false
--- a/internal/router/withdrawal_test.go
+++ b/internal/router/withdrawal_test.go
@@ -93,3 +93,14 @@
 	h.again()
 	assert.Equal(t, 1, h.fetches(id))
 }
+
+// What would have broken an invariant is not decided anew until its time is over: it was, with a line of log for each.
+func TestARequestThatTheGuardWithholdsGetsItsFinalAnswer(t *testing.T) {
+	h := start(t, east("s-1"))
+	stream, id := h.batch("lookup", 4000)
+	line := h.up()
+	h.tell(OrderRefused{line, id, OrderInvalid})
+	assert.Equal(t, failure, h.answers[stream][:2])
+	h.again()
+	assert.Equal(t, 1, h.fetches(id))
+}
