Slow start: 0.95 of a cold engine's budget is divided, since one part of it is a spare

Cause: the spare part for a second process took 6 (of 16 routers) to 33 (of 2) parts in a hundred from each router. Result: N+1 processes together still stay under what routers divide with the check's slack: the test of two processes under one name passes six times of six.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -36,7 +36,7 @@
 	memoryRoom, roomSpare = 8.0, 4.0    // batches of its like that must find room before one is sent
 	memorySpare, generous = 1.25, 3.0   // grant over the corrected need; times that, where only need counts
 	probeWorth, probeRest = 0.005, 0.25 // of the result that probes may cost, and between those of an engine
-	warmLoad, coldShare   = 0.85, 0.9   // busy share that is capacity; of the cold budget
+	warmLoad, coldShare   = 0.85, 0.95  // busy share that is capacity; of the cold budget
 	coldRouters, copyLoad = 16, 0.75    // routers that share it; load from which no second copies are sent
 
 	asideFirst, asideMost         = 1.0, 8.0      // an engine set aside is tried again then, doubled each time
