--- a/internal/torture/cmd/main.go
+++ b/internal/torture/cmd/main.go
@@ -155,7 +155,7 @@
 		}
 	}
 	var mutex sync.Mutex
-	broken, batches := 0, 0
+	broken, batches, excused := 0, 0, 0
 	var failure error
 	parallel.Each(o.beside, int(o.seeds), func(i int) {
 		r, err := torture.Run(torture.Options{Program: program, Older: older, Seed: o.first + uint64(i), Long: o.long, Clients: o.clients, Folder: o.folder,
@@ -172,12 +172,15 @@
 			fmt.Printf(", free further dispatches %.2f, reports at once %d", r.Uses()[1].Most, r.AtOnce())
 		}
 		fmt.Println()
+		if !r.Played() {
+			excused++
+		}
 		if len(r.Findings) > 0 {
 			broken++
 			tell(r)
 		}
 	})
-	fmt.Printf("%d seeds, %d batches, %d seeds broke a rule\n", o.seeds, batches, broken)
+	fmt.Printf("%d seeds, %d batches, %d seeds broke a rule, %d count as not played: over a tenth of their batches is excused\n", o.seeds, batches, broken, excused)
 	if failure == nil && broken > 0 {
 		failure = fmt.Errorf("%d of %d seeds broke a rule", broken, o.seeds)
 	}
--- a/internal/torture/soak.go
+++ b/internal/torture/soak.go
@@ -32,6 +32,7 @@
 	killAfterTerm = 3700 * time.Millisecond
 	crowdSize     = 200 // of 256 descriptors a router lets clients have half
 	soakEngines   = 3   // routers for each engine
+	killManyOneIn = 4   // plays in which several are killed at once without a warning
 	invariantRule = 9   // of findings that the routers' own guard has made
 )
 
@@ -44,6 +45,9 @@
 	for range len(kinds) {
 		kinds = append(kinds, SystemCalls)
 	}
+	if seed%killManyOneIn != 0 { // what many hold when they are killed at once is owed by nobody, and would be most of a play
+		kinds[slices.Index(kinds, KillMany)] = StopAndKill
+	}
 	if seed%3 == 0 {
 		kinds = append(kinds, Crowd, Crowd, Crowd, Crowd)
 	}
