Ending a client's connection: what lies unread in its socket is refused, not dropped

Cause: a router that stood still finds a frame half whole for long, or a connection idle, before it has read what came meanwhile. The look at clients was put off by 20 ms after a standstill, not by a read: tasks run before the sockets are looked at, so on a busy machine it came first. The close then shut our side and dropped the rest. ARequestThatLiesUnreadAsItsConnectionIsEndedIsRefused forces it with the loop held still: it had an end and no answer before. Change: every close of ours first reads all that is there and refuses it. What comes after that crosses the close.

--- a/internal/loop/crossings_test.go
+++ b/internal/loop/crossings_test.go
@@ -816,6 +816,33 @@
 	p.end()
 }
 
+// A router that stood still finds a frame half whole for long, or a connection idle, before it has read what lies in its socket: a
+// request that was written seconds ago went with the connection, unread.
+func TestARequestThatLiesUnreadAsItsConnectionIsEndedIsRefused(t *testing.T) {
+	e := engine(t, nil)
+	p := begin(t, 8, nil, listed("s-0", e)) // four clients
+	p.names.Set(host("s-0", e))
+	idle := p.client()
+	require.NoError(t, idle.Ask(1, "lookup", "0000000000000001", left, "SELECT 1 FROM a_3.b"))
+	require.Equal(t, uint8(clients.Served), p.answer(idle).Code)
+	for range 3 {
+		c := p.client()
+		c.Write(standin.Frame(clients.AskReady, 1, []string{}, "")) //nolint:errcheck
+		p.next(c)
+	}
+	p.mutex.Lock()
+	p.opened = sync.OnceFunc(func() { // the loop stands still here, and ends the idle one then
+		for i := range uint32(3) {
+			idle.Ask(2+i, "lookup", fmt.Sprintf("%016x", 2+i), left, "SELECT 1 FROM a_3.b") //nolint:errcheck
+		}
+	})
+	p.mutex.Unlock()
+	p.client() // one too many
+	assert.Equal(t, map[uint32]uint8{2: clients.Refused, 3: clients.Refused, 4: clients.Refused}, p.codes(idle, 3))
+	p.ends(idle)
+	assert.Len(t, e.Seen("fetch"), 1)
+}
+
 // standstill is a router that stands still in the middle of a step, twice: while it stands still first, a timer fires and the
 // second request comes, so that the loop finds both at once and decides without looking at its sockets again.
 type standstill struct {
--- a/internal/loop/linger.go
+++ b/internal/loop/linger.go
@@ -12,8 +12,8 @@
 
 // Lingering close: a client's connection that the router ends is shut on our side first, once all that the client was told is written. What
 // the client still sends is read and dropped until it closes too, or a little time has passed. A plain close over bytes
-// that were not read yet resets the connection, and answers that had just been written go with it: a batch may cross any
-// close of ours. A batch that crosses the shutdown is not taken: its client sends it again on another connection.
+// that were not read yet resets the connection, and answers that had just been written go with it: a request may cross any
+// close of ours. What has come by the close is refused. A request that crosses the shutdown is not taken: its client sends it again on another connection.
 const (
 	lingerTime  = 100 * time.Millisecond // clients that have seen our shutdown have closed by then
 	lingerEvery = 10 * time.Millisecond
@@ -34,6 +34,12 @@
 	one := &lingerer{peer: p, by: by}
 	p.lingers = true
 	l.lingering = append(l.lingering, one)
+	if p.refuses { // what lies in its socket came before our end, and is owed an answer
+		p.stream.Receive()
+		if !slices.Contains(l.lingering, one) { // it has ended meanwhile
+			return
+		}
+	}
 	l.shut(one)
 	for !l.ended && len(l.lingering) > min(max(l.config.Descriptors/lingerShare, lingerLeast), lingerMost) {
 		l.close(l.lingering[0].peer)
--- a/internal/reactor/stream.go
+++ b/internal/reactor/stream.go
@@ -10,6 +10,7 @@
 
 const (
 	mostReads   = 16              // of one connection in a row: the others wait
+	mostRounds  = 16              // of so many reads, where all that is there is wanted
 	failingFor  = 5 * time.Second // a connection whose calls have failed for so long, with nothing between, is over
 	mostVectors = 1024            // what writev takes at a time
 )
@@ -167,24 +168,34 @@
 	}
 }
 
-// read takes in what is there.
-func (s *Stream) read() {
+// Receive takes in all that is there now. Its handler may be told of the end of the connection meanwhile.
+func (s *Stream) Receive() {
+	for range mostRounds {
+		if s.closed || s.paused || !s.read() {
+			return
+		}
+	}
+}
+
+// read takes in what is there. It tells whether there may be more.
+func (s *Stream) read() (more bool) {
 	for range mostReads {
 		n, err := unix.Read(s.fd, s.reactor.buffer)
 		switch {
 		case err == nil && n == 0:
 			s.end(io.EOF)
-			return
+			return false
 		case err != nil:
 			s.waits("read", err)
-			return
+			return false
 		}
 		s.went()
 		s.handler.Received(s.reactor.buffer[:n])
 		if s.closed || s.paused || !s.drains && n < len(s.reactor.buffer) {
-			return
+			return !s.closed && !s.paused
 		}
 	}
+	return true
 }
 
 func (s *Stream) went() {
