Torture rig: what its own machine takes is measured by a byte on a new connection

Beside a full fleet play (load 17 on 6 cores) the checker found attempts 0.2 to 0.5 s after their clients had gone and deadlines 0.5 to 0.7 s too long. A timer in the rig did not see it. Now a byte goes through a link like those and back on a new connection every 10 ms, and what it takes beyond 20 ms is held against nobody. The rig can have routers log every request.

--- a/internal/torture/cmd/main.go
+++ b/internal/torture/cmd/main.go
@@ -34,7 +34,7 @@
 	talk, shares bool
 	limits       bool
 	firm         float64
-	soak         bool
+	soak, debug  bool
 }
 
 func main() {
@@ -54,6 +54,7 @@
 	flag.BoolVar(&o.limits, "limits", false, "and free further dispatches and what may be out, too")
 	flag.Float64Var(&o.firm, "firm", 0.1, "share of that which stays with each")
 	flag.BoolVar(&o.soak, "soak", false, "system calls fail too, faults overlap, clients go on until a kill; for 10 to 40 routers")
+	flag.BoolVar(&o.debug, "debug", false, "routers log every request")
 	measure := flag.Bool("measure", false, "no script: service and use of budgets by 2 to 12 routers, with none and half of them killed")
 	defects := flag.Bool("defects", false, "look for the defects of defects.toml")
 	flag.Parse()
@@ -159,7 +160,7 @@
 	var failure error
 	parallel.Each(o.beside, int(o.seeds), func(i int) {
 		r, err := torture.Run(torture.Options{Program: program, Older: older, Seed: o.first + uint64(i), Long: o.long, Clients: o.clients, Folder: o.folder,
-			Routers: o.routers, Talk: o.talk, Shares: o.shares, Limits: o.limits, Firm: o.firm, Soak: o.soak})
+			Routers: o.routers, Talk: o.talk, Shares: o.shares, Limits: o.limits, Firm: o.firm, Soak: o.soak, Debug: o.debug})
 		mutex.Lock()
 		defer mutex.Unlock()
 		if err != nil {
--- a/internal/torture/router.go
+++ b/internal/torture/router.go
@@ -170,6 +170,9 @@
 		return err
 	}
 	words := []string{"-c", fmt.Sprintf(`ulimit -n %d && exec "$0" "$@"`, r.Descriptors), r.program}
+	if r.Debug {
+		words = append(words, "--log-level", "debug")
+	}
 	if r.Talk {
 		path, err := r.tell()
 		if err != nil {
--- a/internal/torture/terms.go
+++ b/internal/torture/terms.go
@@ -1,6 +1,9 @@
 package torture
 
 import (
+	"fmt"
+	"io"
+	"net"
 	"time"
 
 	"pitchfield/internal/standin"
@@ -73,22 +76,68 @@
 }
 
 const (
-	lagEvery = 5 * time.Millisecond  // the rig looks whether it gets its turns
-	lagLeast = 20 * time.Millisecond // a turn so late is noted
+	lagEvery  = 10 * time.Millisecond // the rig looks how long a byte takes that goes through it
+	lagLeast  = 20 * time.Millisecond // one that takes so long is noted
+	lagParty  = "lag"                 // what links call both of its ends
+	lagWithin = 10 * time.Second
 )
 
-// watchLag notes when the machine gave the rig no turn, until stopped. The list may be read after that.
-func (p *play) watchLag(stop <-chan struct{}) []Still {
+// watchLag notes when the machine gave the rig no turn, until stopped: a byte goes there and back on a new connection, by a link
+// like those between routers and engines where there are links. The list may be read once it returns.
+func (p *play) watchLag(stop <-chan struct{}) ([]Still, error) {
+	echo, err := net.Listen("tcp", p.host+":0")
+	if err != nil {
+		return nil, fmt.Errorf("torture: %w", err)
+	}
+	defer echo.Close()
+	go func() {
+		for {
+			c, err := echo.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				io.Copy(c, c) //nolint:errcheck // whoever waits for it notes how long that takes
+			}()
+		}
+	}()
+	address := echo.Addr().String()
+	if p.fabric != nil {
+		link, err := p.fabric.Stream(p.host, lagParty, lagParty, address)
+		if err != nil {
+			return nil, fmt.Errorf("torture: %w", err)
+		}
+		address = link.Addr().String()
+	}
 	var lags []Still
 	for {
-		before := p.since()
+		began := p.since()
+		there(address)
+		if p.since() > began+lagLeast {
+			lags = append(lags, Still{began, p.since()})
+		}
 		select {
 		case <-stop:
-			return lags
+			return lags, nil
 		case <-time.After(lagEvery):
 		}
-		if due := before + lagEvery; p.since() > due+lagLeast {
+		if due := began + lagEvery + lagLeast; p.since() > due+lagLeast {
 			lags = append(lags, Still{due, p.since()})
 		}
 	}
 }
+
+// there sends a byte to an address and waits until it comes back, or can't.
+func there(address string) {
+	c, err := net.DialTimeout("tcp", address, lagWithin)
+	if err != nil {
+		return
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(lagWithin)) //nolint:errcheck
+	one := []byte{1}
+	if _, err := c.Write(one); err == nil {
+		io.ReadFull(c, one) //nolint:errcheck
+	}
+}
