--- a/brain/brain.go
+++ b/brain/brain.go
@@ -457,14 +457,15 @@
 	return r.giveUp(b)
 }
 
-// Leave tells that the process is about to end. Nothing is sent to cold engines from now on: the next one under the same name may
-// run already, and goes by the same part of what they bear.
+// Leave tells that the process is about to end. Nothing is sent to cold engines from now on: the next one
+// under the same name may run already, and goes by the same part of what they bear.
 func (r *Router) Leave() { r.leaving = true }
 
 func (r *Router) again(b *Batch) bool {
 	// A budget of its route that is spent ends the batch at once: others would wait behind it, and it would come
 	// back into the same trouble. It hurts where the trouble ends the next moment.
-	return !b.unconfirmed && len(b.dispatches) < r.tries(b) && r.harmless(b, r.tick) && (b.Out == 0 || r.load < copyLoad) &&
+	return !b.unconfirmed && len(b.dispatches) < r.tries(b) && r.harmless(b, r.tick) &&
+		(b.Out == 0 || r.load < copyLoad) &&
 		(len(b.dispatches) == 0 || b.Route.May(r.now) && r.all.May(r.now))
 }
 
@@ -709,8 +710,9 @@
 	return !r.cold(e) || !r.leaving && r.parts.Room(r.now, e.start(), b.likely)
 }
 
-// cold tells whether an engine may still be slow after its start. The time of the start is another machine's and may be off by
-// hours, so it only tells one start from another: slow start runs on our clock, from when the start was first heard of.
+// cold tells whether an engine may still be slow after its start. The time of the start is another machine's
+// and may be off by hours, so it only tells one start from another: slow start runs on our clock, from when
+// the start was first heard of.
 func (r *Router) cold(e *Engine) bool {
 	return e.StartedAt != 0 && r.now < e.startHeardAt+r.coldTime
 }
--- a/deploy/sites_test.go
+++ b/deploy/sites_test.go
@@ -22,6 +22,10 @@
 	Fam    struct{ Class []map[string]any }
 	Tier   []struct{ Kind []struct{ Cores int } }
 	Tenant []struct{ Name string }
+	Allow  struct {
+		Cancel       bool
+		SecondCopies bool `toml:"second_copies"`
+	}
 }
 
 func readSite(t *testing.T, name string) (s site) {
@@ -44,6 +48,10 @@
 		assert.LessOrEqual(t, c.Window, 2000.0, c.Name)
 	}
 	assert.Equal(t, map[string]bool{"safe": true, "keyed": true, "unsafe": true}, effects)
+	assert.False(t, river.Allow.SecondCopies)
+	tide := readSite(t, "tide-gauges")
+	assert.False(t, tide.Allow.SecondCopies)
+	assert.False(t, tide.Allow.Cancel)
 	quay := readSite(t, "quay-tallies")
 	assert.Len(t, quay.Tenant, 3)
 	for _, k := range quay.Tier[0].Kind {
