--- a/internal/torture/runs.go
+++ b/internal/torture/runs.go
@@ -63,6 +63,14 @@
 	return n
 }
 
+// lifeOf is the start of its router that sent a run: what one sends just before it is killed may come when the next runs already.
+func (c *runsCheck) lifeOf(r standin.Run) int {
+	if b := c.by[r.ID]; b != nil {
+		return b.Life
+	}
+	return c.life(c.router(r), c.at(r))
+}
+
 // slack is what may lie between a decision and its arrival: the ways on a busy machine, and what of the time the router
 // stood still or its link to the engine was not fair.
 func (c *runsCheck) slack(r standin.Run, from, to time.Duration) time.Duration {
@@ -159,7 +167,7 @@
 		l := line{c.router(r), r.Key}
 		before, is := last[l]
 		last[l] = r
-		if !is || before.ID == r.ID || c.life(l.router, c.at(before)) != c.life(l.router, c.at(r)) || c.late(r) ||
+		if !is || before.ID == r.ID || c.lifeOf(before) != c.lifeOf(r) || c.late(r) ||
 			c.unfair(before, c.at(before)-wayWithin, c.at(r)) {
 			continue
 		}
