--- a/internal/logwriter/logwriter_test.go
+++ b/internal/logwriter/logwriter_test.go
@@ -73,3 +73,19 @@
 	w.Write([]byte("lost\n")) //nolint:errcheck
 	assert.Zero(t, w.Close(patience))
 }
+
+// Bytes that were taken to be written, and are not written, count as little as lines that wait.
+func TestCloseCountsWhatIsBeingWritten(t *testing.T) {
+	d := &disk{gate: make(chan struct{})}
+	w := newWriter(d, 100)
+	w.Write([]byte("line\n")) //nolint:errcheck
+	assert.Eventually(t, func() bool {
+		w.mutex.Lock()
+		defer w.mutex.Unlock()
+		return len(w.waiting) == 0
+	}, patience, time.Millisecond)
+	assert.Equal(t, len("line\n"), w.Close(0), "taken, and the disk holds it up")
+	close(d.gate)
+	<-w.idle
+	assert.Equal(t, "line\n", d.text.String())
+}
