--- /dev/null
+++ b/review/stage/engine.go
@@ -0,0 +1,204 @@
+package stage
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"pitchfield/internal/standin"
+)
+
+// Fetch is a request that has come whole to an engine.
+type Fetch struct {
+	Engine    string
+	ID        string
+	Fields    map[string]string
+	Statement string
+	At        time.Time
+}
+
+// Engine is a stand-in for an engine that speaks RESP. It runs what it is sent at once, gives up what is aborted or open on a
+// connection that ends, and answers with one page.
+type Engine struct {
+	net.Listener
+	Name string
+	Work func(f *Fetch) time.Duration // how long a request runs
+	Came func(f *Fetch)               // called once a request has come whole
+	Done func(f *Fetch)               // called when a request has run to its end
+
+	mutex  sync.Mutex
+	hung   bool          // it reads and answers nothing
+	wakes  chan struct{} // closed when it no longer hangs
+	buffer int
+}
+
+// Page is the result of a request: all engines hold the same data.
+func Page(f *Fetch) string { return "id\t" + f.ID + "\tdone\n" }
+
+// StartEngine starts an engine. buffer is the size of its sockets' receive buffers; 0: the system's.
+func StartEngine(name string, buffer int, e *Engine) error {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	e.Listener, e.Name, e.buffer, e.wakes = l, name, buffer, make(chan struct{})
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			if tcp, is := c.(*net.TCPConn); is && buffer > 0 {
+				tcp.SetReadBuffer(buffer) //nolint:errcheck // it then takes more
+			}
+			go e.serve(c)
+		}
+	}()
+	return nil
+}
+
+// Host returns the engine's line in the list.
+func (e *Engine) Host(zone, kind string) standin.Host {
+	return standin.Host{ID: e.Name, Zone: zone, Kind: kind, Address: e.Addr().String()}
+}
+
+// Hang has the engine read and answer nothing from now on, as when its process stands still.
+func (e *Engine) Hang() {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.hung = true
+}
+
+// Wake ends a hang.
+func (e *Engine) Wake() {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.hung = false
+	close(e.wakes)
+	e.wakes = make(chan struct{})
+}
+
+// await returns once the engine does not hang.
+func (e *Engine) await() {
+	for {
+		e.mutex.Lock()
+		hung, wakes := e.hung, e.wakes
+		e.mutex.Unlock()
+		if !hung {
+			return
+		}
+		<-wakes
+	}
+}
+
+// awaker reads from a connection while the engine does not hang.
+type awaker struct {
+	net.Conn
+	engine *Engine
+}
+
+func (a awaker) Read(p []byte) (int, error) {
+	for {
+		a.engine.await()
+		a.SetReadDeadline(time.Now().Add(20 * time.Millisecond)) //nolint:errcheck // the read fails too
+		n, err := a.Conn.Read(p[:min(len(p), 4096)])
+		if timeout := (net.Error)(nil); n == 0 && errors.As(err, &timeout) && timeout.Timeout() {
+			continue
+		}
+		return n, err
+	}
+}
+
+func (e *Engine) serve(c net.Conn) {
+	in := bufio.NewReaderSize(awaker{c, e}, 4096)
+	var mutex sync.Mutex
+	open := map[string]bool{}
+	defer func() {
+		c.Close()
+		mutex.Lock()
+		clear(open) // what is open on the connection is given up
+		mutex.Unlock()
+	}()
+	reply := func(words ...string) { // the caller holds the mutex
+		var out strings.Builder
+		fmt.Fprintf(&out, "*%d\r\n", len(words))
+		for _, w := range words {
+			fmt.Fprintf(&out, "$%d\r\n%s\r\n", len(w), w)
+		}
+		io.WriteString(c, out.String()) //nolint:errcheck // the reading side notices
+	}
+	for {
+		words, err := readArray(in)
+		if err != nil || len(words) < 2 {
+			return
+		}
+		mutex.Lock()
+		switch words[0] {
+		case "alive", "stats":
+			reply(words[1], "FIT", "-", "")
+		case "abort", "done":
+			delete(open, words[1])
+		case "more":
+			reply(words[1], "BROKE", "-", "")
+		case "fetch":
+			f := &Fetch{Engine: e.Name, ID: words[1], Fields: map[string]string{}, Statement: words[3], At: time.Now()}
+			for _, field := range strings.Split(words[2], ",") {
+				name, value, _ := strings.Cut(field, "=")
+				f.Fields[name] = value
+			}
+			open[f.ID] = true
+			if e.Came != nil {
+				e.Came(f)
+			}
+			work := e.Work(f)
+			go func() {
+				time.Sleep(work)
+				e.await()
+				mutex.Lock()
+				defer mutex.Unlock()
+				if open[f.ID] {
+					delete(open, f.ID)
+					if e.Done != nil {
+						e.Done(f)
+					}
+					reply(f.ID, "DONE", fmt.Sprintf("sheets=1,toil=%d,room=64", work.Milliseconds()), Page(f))
+				}
+			}()
+		}
+		mutex.Unlock()
+	}
+}
+
+// readArray reads a RESP array of bulk strings.
+func readArray(in *bufio.Reader) ([]string, error) {
+	number := func(prefix byte) (int, error) {
+		line, err := in.ReadString('\n')
+		if err != nil || len(line) < 3 || line[0] != prefix {
+			return 0, fmt.Errorf("no length: %q %w", line, err)
+		}
+		return strconv.Atoi(strings.TrimSpace(line[1:]))
+	}
+	n, err := number('*')
+	if err != nil {
+		return nil, err
+	}
+	var out []string
+	for range n {
+		size, err := number('$')
+		if err != nil {
+			return nil, err
+		}
+		b := make([]byte, size+2)
+		if _, err := io.ReadFull(in, b); err != nil {
+			return nil, err
+		}
+		out = append(out, string(b[:size]))
+	}
+	return out, nil
+}
