--- a/review/2/main.go
+++ b/review/2/main.go
@@ -1,130 +1,232 @@
-// Command case2 plays case 2; claim.txt says what it shows.
+// x; claim.txt says what it shows.
 package main
 
 import (
+	"bytes"
 	"encoding/binary"
-	"errors"
 	"fmt"
 	"net"
+	"regexp"
+	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/crypto/bcrypt"
+
+	"pitchfield/internal/assign"
+	"pitchfield/internal/buffers"
+	"pitchfield/internal/rows"
 	"pitchfield/internal/standin"
+	"pitchfield/internal/tds"
+	"pitchfield/internal/traffic"
 	"pitchfield/review/stage"
 )
 
 const (
 	engineCount = 6
-	clientCount = 8
-	loads       = 6               // one after another while the reports run
-	openReports = 4               // on each client's connection; the pages allow 32
-	reportWork  = 3 * time.Second // the pages: 2,200 to 4,700 ms on average, on two threads
-	uploadWork  = 200 * time.Millisecond
-	uploadBytes = 150_000 // of a statement; the pages: a frame has 262,144 bytes at most
+	replaced    = 3               // half of the engines
+	stepEvery   = 4 * time.Second // one engine at a time: 1/6 of the tier, the pages: 0.05 to 0.2
+	drainFor    = 3 * time.Second // the pages: 2 to 6 s
+	stepsFrom   = 5 * time.Second
 	playFor     = 40 * time.Second
-	memoryMB    = 64      // the pages: 32 to 192 MB
-	descriptors = 512     // the pages: 256 to 1,024
-	badClients  = 120     // the pages: many, hundreds; all clients hold a third of the descriptors at most: 170
-	badBytes    = 250_000 // what a bad client sends of a message whose end never comes
-	badFrom     = 5 * time.Second
-	badFor      = 3 * time.Second // of one wave
-	badEvery    = 7 * time.Second
-	waves       = 4
-	lateness    = 500 * time.Millisecond // the pages: up to half a second after its time an answer only earns nothing
+	clientCount = 8
+	work        = 150 * time.Millisecond
+	limit       = 4 * time.Second
+	login       = "reports"
+	password    = "pw"
 )
 
-// began tells where a request runs, by its id.
-var began sync.Map
+// The data that all engines hold: an order of each client on each day.
+const (
+	customers = 4
+	days      = 20
+)
 
-type totals struct{ taken, answered, refused, failed, lost atomic.Int64 }
+// question is what clients ask, always with the same text. The last parameter says whose orders are wanted.
+const question = "SELECT client, due, note FROM sales_17.orders WHERE due > @day-@back AND client = @client"
 
-// client is a usual client: it asks some reports at a time, and sends a load while they run.
-func client(s *stage.Stage, router *stage.Router, number int, until time.Time, t *totals) {
-	for round := 0; time.Now().Before(until) && !router.HasEnded(); round++ {
-		c, err := stage.Connect(router.Address)
-		if err != nil {
-			time.Sleep(200 * time.Millisecond)
-			continue
-		}
-		var open []*stage.Request
-		send := func(class string, left time.Duration, statement string, fields ...string) {
-			if r, err := c.Send(class, left, statement, fields...); err == nil {
-				t.taken.Add(1)
-				open = append(open, r)
-			} else {
-				s.Note("client %d: %s %s could not be written whole, so it is not taken: %v", number, class, r.ID, err)
+// order returns a row.
+func order(customer, due int) string {
+	return fmt.Sprintf("%d\t%d\tnote of client %d", customer, due, customer)
+}
+
+// matching returns the rows after a day, of one customer or, for 0, of all.
+func matching(after, customer int) (out []string) {
+	for c := 1; c <= customers; c++ {
+		for due := 1; due <= days; due++ {
+			if due > after && (customer == 0 || c == customer) {
+				out = append(out, order(c, due))
 			}
 		}
-		for i := range openReports {
-			send("report", 15*time.Second, fmt.Sprintf("SELECT * FROM sales_%d.orders WHERE n=%d", number, i))
-		}
-		for n := range loads {
-			time.Sleep(time.Duration(300+20*number) * time.Millisecond)
-			if ended, _ := c.HasEnded(); ended || len(open) < openReports {
-				break
+	}
+	return out
+}
+
+// In Transact-SQL, which engines and clients speak, two hyphens begin a comment, with or without a space behind them.
+var (
+	comments  = regexp.MustCompile(`--[^\n]*|/\*.*?\*/`)
+	condition = regexp.MustCompile(`^SELECT client, due, note FROM sales_17\.orders WHERE due > (-?\d+)(?:\s*-\s*(-?\d+))?(?: AND client = (\d+))?\s*$`)
+)
+
+// execute runs a statement that has no parameters.
+func execute(statement string) ([]string, error) {
+	m := condition.FindStringSubmatch(strings.TrimSpace(comments.ReplaceAllString(statement, "")))
+	if m == nil {
+		return nil, fmt.Errorf("not a statement of this data: %q", statement)
+	}
+	number := func(s string) int { n, _ := strconv.Atoi(s); return n }
+	return matching(number(m[1])-number(m[2]), number(m[3])), nil
+}
+
+// tdsEngine is a stand-in for an engine that speaks TDS; it takes parameters.
+type tdsEngine struct {
+	net.Listener
+	name string
+	s    *stage.Stage
+}
+
+func startTDS(s *stage.Stage, name string) (*tdsEngine, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	e := &tdsEngine{Listener: l, name: name, s: s}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
 			}
-			send("upload", 25*time.Second, fmt.Sprintf("INSERT INTO sales_%d.readings VALUES ", number)+strings.Repeat("(1,2,3),", uploadBytes/8)+"(1,2,3)",
-				"k", fmt.Sprintf("%016x%08x%08x", number, round, n), "o", fmt.Sprintf("%08x%08x", number, n))
+			go e.serve(c)
 		}
-		for _, r := range open {
-			c.Await(r, r.Deadline.Add(lateness))
+	}()
+	return e, nil
+}
+
+func (e *tdsEngine) serve(conn net.Conn) {
+	defer conn.Close()
+	pool := &buffers.Pool{}
+	rules := &assign.Rules{Default: &assign.BatchProperties{Group: "any"}}
+	session := (&tds.Server{Pool: pool, Name: e.name, Rules: func() *assign.Rules { return rules },
+		Authenticate: func(string, string) (string, error) { return "", nil }}).NewSession()
+	in, out, buffer := pool.Chain(), pool.Chain(), make([]byte, 16<<10)
+	for {
+		n, err := conn.Read(buffer)
+		if err != nil {
+			return
 		}
-		time.Sleep(20 * time.Millisecond) // a second answer would come about now
-		ended, how := c.HasEnded()
-		refused := false
-		for _, r := range open {
-			answers := c.Answers(r)
-			switch {
-			case len(answers) > 1:
-				s.Break("client %d: %s %s got %d answers", number, r.Class, r.ID, len(answers))
-			case len(answers) == 1 && answers[0].Code == 0:
-				t.answered.Add(1)
-				if answers[0].Body != stage.Page(&stage.Fetch{ID: r.ID}) {
-					s.Break("client %d: %s %s got a foreign answer", number, r.Class, r.ID)
-				}
-			case len(answers) == 1 && answers[0].Code == 11:
-				t.refused.Add(1)
-				refused = true
-			case len(answers) == 1:
-				t.failed.Add(1)
-			case r.Class == "upload" && ended && c.EndedAt.Sub(r.Written) < 50*time.Millisecond:
-				// It may have crossed the close; only what was open and read for sure is counted.
-				s.Note("client %d: load %s crossed the end of its connection", number, r.ID)
-			default:
-				t.lost.Add(1)
-				at, _ := began.Load(r.ID)
-				s.Break("client %d: %s %s, %s, was written %d ms before the end of its connection (ended %t: %v) and has no answer", number, r.Class, r.ID,
-					at, c.EndedAt.Sub(r.Written).Milliseconds(), ended, errors.Unwrap(how))
+		in.Write(buffer[:n])
+		for {
+			event, err := session.Read(in, out)
+			if verify, is := event.(*traffic.Verify); is {
+				event, err = verify.Done(verify.Run(), out)
+			}
+			if request, is := event.(*traffic.BatchRequest); is {
+				text := request.Batch.Text.String()
+				request.Batch.Text.Release()
+				e.answer(session, pool, out, request, text)
+			}
+			conn.Write(out.Bytes()) //nolint:errcheck // the next read tells
+			out.Release()
+			if err != nil {
+				return
+			}
+			if event == nil {
+				break
 			}
 		}
-		c.Close()
-		if refused {
-			time.Sleep(500 * time.Millisecond)
+	}
+}
+
+// answer runs a statement and writes its result. The connection carries one statement at a time.
+func (e *tdsEngine) answer(session *tds.Session, pool *buffers.Pool, out *buffers.Chain, request *traffic.BatchRequest, text string) {
+	if i := strings.LastIndex(text, "SELECT"); i >= 0 {
+		text = text[i:]
+	}
+	if text == "SELECT 1" {
+		session.Encode(out, &traffic.Answer{Stream: request.Stream})
+		return
+	}
+	time.Sleep(work)
+	values := map[string]int{}
+	for _, p := range request.Batch.Parameters {
+		values[p.Name] = int(int32(binary.LittleEndian.Uint32(p.Value)))
+	}
+	var result []string
+	var err error
+	if len(values) == 0 {
+		result, err = execute(text)
+	} else if text == question {
+		result = matching(values["@day"]-values["@back"], values["@client"])
+	} else {
+		err = fmt.Errorf("not a statement of this data: %q", text)
+	}
+	if err != nil {
+		e.s.Note("%s: %v", e.name, err)
+		session.Encode(out, &traffic.Answer{Stream: request.Stream, Code: traffic.Failed, Reason: "syntax"})
+		return
+	}
+	part := rows.Part{Encoding: rows.Values, Data: pool.Chain()}
+	for _, name := range []string{"client", "due", "note"} {
+		part.Columns = append(part.Columns, rows.Column{Name: name, Type: rows.Type{Kind: rows.Text}})
+	}
+	for _, row := range result {
+		for _, v := range strings.Split(row, "\t") {
+			rows.AppendValue(part.Data, []byte(v))
 		}
 	}
+	session.Encode(out, &traffic.Rows{Stream: request.Stream, Part: part})
+	session.Encode(out, &traffic.Answer{Stream: request.Stream})
+	part.Release()
+}
+
+func parameter(name string, v int) rows.Parameter {
+	return rows.Parameter{Column: rows.Column{Name: name, Type: rows.Type{Kind: rows.Int32}}, Value: binary.LittleEndian.AppendUint32(nil, uint32(int32(v)))}
 }
 
-// badClient sends a message whose end never comes, waits until the router closes, and comes again.
-func badClient(address string, until time.Time, rounds *atomic.Int64) {
-	frame := binary.LittleEndian.AppendUint32(nil, 262_144)
-	frame = binary.LittleEndian.AppendUint32(append(frame, 10), 1)
-	frame = append(frame, make([]byte, badBytes)...)
-	for time.Now().Before(until) {
-		c, err := net.DialTimeout("tcp", address, time.Second)
-		if err == nil {
-			rounds.Add(1)
-			c.SetDeadline(time.Now().Add(6 * time.Second)) //nolint:errcheck // the calls fail too
-			c.Write(frame)                                 //nolint:errcheck // the router may close at any time
-			for buffer := make([]byte, 512); ; {
-				if _, err := c.Read(buffer); err != nil {
-					break
+// client asks for the orders of one customer after another, now and then with a day that lies ahead: @back below 0.
+func client(s *stage.Stage, router *stage.Router, address string, number int, until time.Time, served *atomic.Int64) {
+	for n := 0; time.Now().Before(until) && !router.HasEnded(); {
+		c, err := standin.DialTDS(address, login, password, "sales", 3*time.Second)
+		if err != nil {
+			time.Sleep(200 * time.Millisecond)
+			continue
+		}
+		for ; time.Now().Before(until); n++ {
+			day, back, customer := 10, []int{2, -3, 0, -1}[n%4], 1+(number+n)%customers
+			if err := c.Send(question, parameter("@day", day), parameter("@back", back), parameter("@client", customer)); err != nil {
+				break
+			}
+			reply, err := c.ReadReply(limit + 500*time.Millisecond)
+			if err != nil {
+				s.Note("client %d: no answer: %v", number, err) // not what this case is about
+				break
+			}
+			asked := fmt.Sprintf("%s with @day = %d, @back = %d, @client = %d", question, day, back, customer)
+			if reply.Word != traffic.ReplyComplete {
+				s.Note("client %d: not served: %s", number, reply.Why)
+				time.Sleep(300 * time.Millisecond)
+				continue
+			}
+			served.Add(1)
+			if want := matching(day-back, customer); !slices.Equal(reply.Lines, want) {
+				foreign := 0
+				for _, row := range reply.Lines {
+					if !strings.HasPrefix(row, fmt.Sprintf("%d\t", customer)) {
+						foreign++
+					}
 				}
+				s.Break("client %d asked %s and was served %d rows in place of %d, %d of them of other customers", number, asked,
+					len(reply.Lines), len(want), foreign)
+			} else {
+				s.Note("client %d asked with @back = %d, @client = %d and was served the %d right rows", number, back, customer, len(want))
 			}
-			c.Close()
+			time.Sleep(50 * time.Millisecond)
 		}
-		time.Sleep(100 * time.Millisecond)
+		c.Close()
 	}
 }
 
@@ -136,50 +238,81 @@
 	s.AtEnd(func() { names.Close() })
 	var hosts []standin.Host
 	for i := range engineCount {
-		e := &stage.Engine{Came: func(f *stage.Fetch) { began.Store(f.ID, "which runs at "+f.Engine) }, Work: func(f *stage.Fetch) time.Duration {
-			if f.Fields["queue"] == "upload" {
-				return uploadWork
-			}
-			return reportWork
-		}}
-		if err := stage.StartEngine(fmt.Sprintf("s-%d", i+1), 0, e); err != nil {
+		e, err := startTDS(s, fmt.Sprintf("tds-%d", i+1))
+		if err != nil {
 			return err
 		}
 		s.AtEnd(func() { e.Close() })
-		hosts = append(hosts, e.Host("brno-hall", "std-8"))
+		hosts = append(hosts, standin.Host{ID: e.name, Zone: "brno-hall", Kind: "std-8", Address: e.Addr().String()})
 	}
-	names.Set(hosts...)
-	router, err := s.StartRouter(stage.Options{Settings: stage.Platform, MemoryMB: memoryMB, Descriptors: descriptors, Names: names})
+	names.Set(slices.Clone(hosts)...)
+	listen, err := stage.FreeAddress()
+	if err != nil {
+		return err
+	}
+	hash, err := bcrypt.GenerateFromPassword([]byte(password), bcrypt.MinCost)
+	if err != nil {
+		return err
+	}
+	router, err := s.StartRouter(stage.Options{Settings: stage.Platform, MemoryMB: 192, Descriptors: 1024, Names: names, Extra: fmt.Sprintf(`
+[tds]
+listen = %q
+[[tds.login]]
+user = %q
+hash = %q
+[default]
+group = "lookup"
+[[engine]]
+id = "tds-*"
+protocol = "tds"
+user = "router"
+password = "between us"
+probe = "SELECT 1"
+`, listen, login, bytes.TrimSpace(hash))})
 	if err != nil {
 		return err
 	}
 	until := time.Now().Add(playFor)
-	var all sync.WaitGroup
-	var t totals
+	var clients sync.WaitGroup
+	var served atomic.Int64
 	for i := range clientCount {
-		all.Go(func() { client(s, router, i+1, until, &t) })
+		clients.Go(func() { client(s, router, listen, i+1, until, &served) })
 	}
-	var rounds atomic.Int64
 	if s.Trouble {
-		time.Sleep(badFrom)
-		for range waves {
-			s.Note("%d bad clients come, for %s", badClients, badFor)
-			end := time.Now().Add(badFor)
-			for range badClients {
-				all.Go(func() { badClient(router.Address, end, &rounds) })
+		time.Sleep(stepsFrom)
+		for i := range replaced {
+			old := hosts[i].ID
+			s.Note("%s drains", old)
+			hosts[i].Draining = true
+			names.Set(slices.Clone(hosts)...)
+			time.Sleep(drainFor)
+			e := &stage.Engine{Work: func(*stage.Fetch) time.Duration { return work }}
+			e.Result = func(f *stage.Fetch) (string, error) {
+				s.Note("%s was sent %q", f.Engine, f.Statement)
+				result, err := execute(f.Statement)
+				if err != nil {
+					return "", err
+				}
+				return strings.Join(append(result, ""), "\n"), nil
+			}
+			if err := stage.StartEngine(fmt.Sprintf("s-%d", i+1), 0, e); err != nil {
+				return err
 			}
-			time.Sleep(badEvery)
+			s.AtEnd(func() { e.Close() })
+			hosts[i] = e.Host("brno-hall", "std-8")
+			hosts[i].Started = time.Now().UnixMilli()
+			s.Note("%s is gone; %s, which speaks RESP, has its place", old, e.Name)
+			names.Set(slices.Clone(hosts)...)
+			time.Sleep(stepEvery - drainFor)
 		}
 	}
-	all.Wait()
-	s.Note("bad connections: %d", rounds.Load())
-	s.Note("requests of usual clients: %d taken, %d served, %d refused, %d failed, %d lost", t.taken.Load(), t.answered.Load(),
-		t.refused.Load(), t.failed.Load(), t.lost.Load())
+	clients.Wait()
+	s.Note("%d requests were served", served.Load())
 	if router.HasEnded() {
 		s.Break("the router has ended: %s", router.Status)
 	}
-	if t.answered.Load() < 50 {
-		return fmt.Errorf("only %d requests were served", t.answered.Load())
+	if served.Load() < 200 {
+		return fmt.Errorf("only %d requests were served", served.Load())
 	}
 	return nil
 }
--- a/review/stage/engine.go
+++ b/review/stage/engine.go
@@ -31,6 +31,8 @@
 	Work func(f *Fetch) time.Duration // how long a request runs
 	Came func(f *Fetch)               // called once a request has come whole
 	Done func(f *Fetch)               // called when a request has run to its end
+	// Result returns the rows of a request, or an error for one that can't be run; nil: Page.
+	Result func(f *Fetch) (string, error)
 
 	mutex  sync.Mutex
 	hung   bool          // it reads and answers nothing
@@ -167,7 +169,15 @@
 					if e.Done != nil {
 						e.Done(f)
 					}
-					reply(f.ID, "DONE", fmt.Sprintf("sheets=1,toil=%d,room=64", work.Milliseconds()), Page(f))
+					result := Page(f)
+					if e.Result != nil {
+						var err error
+						if result, err = e.Result(f); err != nil {
+							reply(f.ID, "BROKE", "-", "")
+							return
+						}
+					}
+					reply(f.ID, "DONE", fmt.Sprintf("sheets=1,toil=%d,room=64", work.Milliseconds()), result)
 				}
 			}()
 		}
--- a/review/stage/stage.go
+++ b/review/stage/stage.go
@@ -239,3 +239,6 @@
 	}
 	return "", fmt.Errorf("the deploy file has no %q", name)
 }
+
+// Pid returns the id of the router's process.
+func (r *Router) Pid() int { return r.command.Process.Pid }
