--- a/review/2/main.go
+++ b/review/2/main.go
@@ -1,4 +1,4 @@
-// x; claim.txt says what it shows.
+// Command case2 plays case 2; claim.txt says what it shows.
 package main
 
 import (
