--- a/review/2/main.go
+++ b/review/2/main.go
@@ -295,7 +295,7 @@
 				}
 				return strings.Join(append(result, ""), "\n"), nil
 			}
-			if err := stage.StartEngine(fmt.Sprintf("s-%d", i+1), 0, e); err != nil {
+			if err := stage.StartEngine(fmt.Sprintf("s-%d", i+1), e); err != nil {
 				return err
 			}
 			s.AtEnd(func() { e.Close() })
--- a/review/3/main.go
+++ b/review/3/main.go
@@ -142,7 +142,7 @@
 			}
 			return reportWork
 		}}
-		if err := stage.StartEngine(fmt.Sprintf("s-%d", i+1), 0, e); err != nil {
+		if err := stage.StartEngine(fmt.Sprintf("s-%d", i+1), e); err != nil {
 			return err
 		}
 		s.AtEnd(func() { e.Close() })
--- a/review/stage/client.go
+++ b/review/stage/client.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"strconv"
 	"sync"
 	"time"
@@ -24,7 +23,6 @@
 	ID, Class string
 	Written   time.Time
 	Deadline  time.Time
-	Canceled  time.Time
 	Answers   []Answer
 }
 
@@ -83,20 +81,6 @@
 	return r, nil
 }
 
-// Cancel says that nobody waits for a request any more.
-func (c *Conn) Cancel(r *Request) error {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	for stream, other := range c.requests {
-		if other == r {
-			_, err := c.Write(standin.EncodeFrame(12, stream, nil, ""))
-			r.Canceled = time.Now()
-			return err
-		}
-	}
-	return nil
-}
-
 // Answers returns the answers that a request has by now.
 func (c *Conn) Answers(r *Request) []Answer {
 	c.mutex.Lock()
@@ -123,11 +107,3 @@
 		time.Sleep(2 * time.Millisecond)
 	}
 }
-
-// Reset closes the connection of a client.
-func (c *Conn) Reset() {
-	if tcp, is := c.Client.Conn.(*net.TCPConn); is {
-		tcp.CloseWrite() //nolint:errcheck // it is closed next
-	}
-	c.Close()
-}
--- a/review/stage/engine.go
+++ b/review/stage/engine.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -30,35 +29,28 @@
 	Name string
 	Work func(f *Fetch) time.Duration // how long a request runs
 	Came func(f *Fetch)               // called once a request has come whole
-	Done func(f *Fetch)               // called when a request has run to its end
+	// Ended is called once when a request has run to its end, just before its answer is written, or is given up.
+	Ended func(f *Fetch)
 	// Result returns the rows of a request, or an error for one that can't be run; nil: Page.
 	Result func(f *Fetch) (string, error)
-
-	mutex  sync.Mutex
-	hung   bool          // it reads and answers nothing
-	wakes  chan struct{} // closed when it no longer hangs
-	buffer int
 }
 
 // Page is the result of a request: all engines hold the same data.
 func Page(f *Fetch) string { return "id\t" + f.ID + "\tdone\n" }
 
-// StartEngine starts an engine. buffer is the size of its sockets' receive buffers; 0: the system's.
-func StartEngine(name string, buffer int, e *Engine) error {
+// StartEngine starts an engine.
+func StartEngine(name string, e *Engine) error {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return err
 	}
-	e.Listener, e.Name, e.buffer, e.wakes = l, name, buffer, make(chan struct{})
+	e.Listener, e.Name = l, name
 	go func() {
 		for {
 			c, err := l.Accept()
 			if err != nil {
 				return
 			}
-			if tcp, is := c.(*net.TCPConn); is && buffer > 0 {
-				tcp.SetReadBuffer(buffer) //nolint:errcheck // it then takes more
-			}
 			go e.serve(c)
 		}
 	}()
@@ -70,62 +62,26 @@
 	return standin.Host{ID: e.Name, Zone: zone, Kind: kind, Address: e.Addr().String()}
 }
 
-// Hang has the engine read and answer nothing from now on, as when its process stands still.
-func (e *Engine) Hang() {
-	e.mutex.Lock()
-	defer e.mutex.Unlock()
-	e.hung = true
-}
-
-// Wake ends a hang.
-func (e *Engine) Wake() {
-	e.mutex.Lock()
-	defer e.mutex.Unlock()
-	e.hung = false
-	close(e.wakes)
-	e.wakes = make(chan struct{})
-}
-
-// await returns once the engine does not hang.
-func (e *Engine) await() {
-	for {
-		e.mutex.Lock()
-		hung, wakes := e.hung, e.wakes
-		e.mutex.Unlock()
-		if !hung {
-			return
-		}
-		<-wakes
-	}
-}
-
-// awaker reads from a connection while the engine does not hang.
-type awaker struct {
-	net.Conn
-	engine *Engine
-}
-
-func (a awaker) Read(p []byte) (int, error) {
-	for {
-		a.engine.await()
-		a.SetReadDeadline(time.Now().Add(20 * time.Millisecond)) //nolint:errcheck // the read fails too
-		n, err := a.Conn.Read(p[:min(len(p), 4096)])
-		if timeout := (net.Error)(nil); n == 0 && errors.As(err, &timeout) && timeout.Timeout() {
-			continue
-		}
-		return n, err
-	}
-}
-
 func (e *Engine) serve(c net.Conn) {
-	in := bufio.NewReaderSize(awaker{c, e}, 4096)
+	in := bufio.NewReader(c)
 	var mutex sync.Mutex
-	open := map[string]bool{}
+	open := map[string]*Fetch{}
+	end := func(id string) (f *Fetch) { // the caller holds the mutex
+		if f = open[id]; f != nil {
+			delete(open, id)
+			if e.Ended != nil {
+				e.Ended(f)
+			}
+		}
+		return f
+	}
 	defer func() {
 		c.Close()
 		mutex.Lock()
-		clear(open) // what is open on the connection is given up
-		mutex.Unlock()
+		defer mutex.Unlock()
+		for id := range open { // what is open on the connection is given up
+			end(id)
+		}
 	}()
 	reply := func(words ...string) { // the caller holds the mutex
 		var out strings.Builder
@@ -145,7 +101,7 @@
 		case "alive", "stats":
 			reply(words[1], "FIT", "-", "")
 		case "abort", "done":
-			delete(open, words[1])
+			end(words[1])
 		case "more":
 			reply(words[1], "BROKE", "-", "")
 		case "fetch":
@@ -154,21 +110,17 @@
 				name, value, _ := strings.Cut(field, "=")
 				f.Fields[name] = value
 			}
-			open[f.ID] = true
+			open[f.ID] = f
 			if e.Came != nil {
 				e.Came(f)
 			}
 			work := e.Work(f)
 			go func() {
 				time.Sleep(work)
-				e.await()
 				mutex.Lock()
 				defer mutex.Unlock()
-				if open[f.ID] {
-					delete(open, f.ID)
-					if e.Done != nil {
-						e.Done(f)
-					}
+				if open[f.ID] == f {
+					end(f.ID)
 					result := Page(f)
 					if e.Result != nil {
 						var err error
--- a/review/stage/stage.go
+++ b/review/stage/stage.go
@@ -3,6 +3,7 @@
 package stage
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -111,9 +112,9 @@
 
 // Router is a router process.
 type Router struct {
+	Name    string
 	Address string // for clients that speak frames
 	Ended   chan struct{}
-	Planned bool // the case ends it itself
 	Status  string
 	command *exec.Cmd
 	logPath string
@@ -126,21 +127,26 @@
 	MemoryMB    int
 	Descriptors int
 	Names       *standin.NameService
+	Name        string // of the router; empty: n1
+	Address     string // for clients; empty: one that is free
 }
 
 // StartRouter starts a router with the command `run` of the deploy file and waits until it says that it is ready.
 func (s *Stage) StartRouter(o Options) (*Router, error) {
-	address, err := FreeAddress()
-	if err != nil {
-		return nil, err
+	name, address := cmp.Or(o.Name, "n1"), o.Address
+	if address == "" {
+		var err error
+		if address, err = FreeAddress(); err != nil {
+			return nil, err
+		}
 	}
-	text, err := json.Marshal(map[string]any{"name": "n1", "listen": address, "seed": "8c1f30d27a5be964",
+	text, err := json.Marshal(map[string]any{"name": name, "listen": address, "seed": "8c1f30d27a5be964",
 		"limits":   map[string]any{"cores": 1.0, "memory_mb": o.MemoryMB, "sockets": o.Descriptors},
 		"resolver": o.Names.LocalAddr().String(), "known": o.Names.StartupEvents(), "settings": json.RawMessage(o.Settings)})
 	if err != nil {
 		return nil, err
 	}
-	config := filepath.Join(s.Dir, "config.json")
+	config := filepath.Join(s.Dir, name+".json")
 	if err := os.WriteFile(config, text, 0o600); err != nil {
 		return nil, err
 	}
@@ -149,14 +155,14 @@
 		return nil, err
 	}
 	if o.Extra != "" {
-		extra := filepath.Join(s.Dir, "settings.toml")
+		extra := filepath.Join(s.Dir, name+".toml")
 		if err := os.WriteFile(extra, []byte(o.Extra), 0o600); err != nil {
 			return nil, err
 		}
 		run += " --settings " + extra
 	}
-	r := &Router{Address: address, Ended: make(chan struct{}), logPath: filepath.Join(s.Dir, "router.log")}
-	log, err := os.Create(r.logPath)
+	r := &Router{Name: name, Address: address, Ended: make(chan struct{}), logPath: filepath.Join(s.Dir, name+".log")}
+	log, err := os.OpenFile(r.logPath, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return nil, err
 	}
@@ -167,7 +173,7 @@
 	if err := r.command.Start(); err != nil {
 		return nil, err
 	}
-	s.Note("router started")
+	s.Note("router %s started", name)
 	go func() {
 		err := r.command.Wait()
 		r.Status = "exit status 0"
@@ -191,7 +197,7 @@
 		c.Close()
 		if err == nil && a.Type == 21 && a.Code == 0 {
 			time.Sleep(300 * time.Millisecond) // it asks the name service meanwhile
-			s.Note("router is ready")
+			s.Note("router %s is ready", name)
 			return r, nil
 		}
 	}
@@ -214,7 +220,7 @@
 	if err != nil {
 		return
 	}
-	s.Note("of the router's log:")
+	s.Note("of the log of router %s:", r.Name)
 	n := 0
 	for _, line := range strings.Split(string(text), "\n") {
 		low := strings.ToLower(line)
@@ -240,5 +246,8 @@
 	return "", fmt.Errorf("the deploy file has no %q", name)
 }
 
-// Pid returns the id of the router's process.
-func (r *Router) Pid() int { return r.command.Process.Pid }
+// Stop ends the router by SIGTERM and waits until it has ended.
+func (r *Router) Stop() {
+	r.command.Process.Signal(syscall.SIGTERM) //nolint:errcheck // it may have ended
+	<-r.Ended
+}
