--- a/review/stage/stage.go
+++ b/review/stage/stage.go
@@ -10,7 +10,9 @@
 	"net"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -26,6 +28,9 @@
 	CouldNot = 2 // the case couldn't run
 )
 
+// longest is for how long a case may run.
+const longest = 110 * time.Second
+
 // Stage is one run of a case.
 type Stage struct {
 	Trouble bool   // false: the same run without the disruption
@@ -62,20 +67,36 @@
 	defer os.RemoveAll(dir)
 	s := &Stage{Trouble: os.Getenv("TROUBLE") != "0", Dir: dir, start: time.Now(), record: record}
 	s.Note("disruption: %t", s.Trouble)
-	err = play(s)
-	for i := len(s.ends) - 1; i >= 0; i-- {
-		s.ends[i]()
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	played := make(chan error, 1)
+	go func() { played <- play(s) }()
+	select {
+	case err = <-played:
+	case <-stop:
+		err = errors.New("it was told to end")
+	case <-time.After(longest):
+		err = errors.New("it ran for too long")
+	}
+	s.mutex.Lock()
+	ends := slices.Clone(s.ends)
+	s.mutex.Unlock()
+	for i := len(ends) - 1; i >= 0; i-- {
+		ends[i]()
 	}
+	s.mutex.Lock()
+	broken := slices.Clone(s.broken)
+	s.mutex.Unlock()
 	code := Held
 	switch {
-	case len(s.broken) > 0:
+	case len(broken) > 0:
 		code = Broken
 	case err != nil:
 		code = CouldNot
 		s.Note("could not run: %s", strings.ReplaceAll(err.Error(), dir, "DIR"))
 	}
 	s.Note("exit code %d (0 the rule held, 1 it was broken, 2 could not run)", code)
-	for _, b := range s.broken {
+	for _, b := range broken {
 		fmt.Println("BROKEN:", b)
 	}
 	fmt.Println("exit code", code)
@@ -98,7 +119,11 @@
 }
 
 // AtEnd has a function called when the case is over.
-func (s *Stage) AtEnd(end func()) { s.ends = append(s.ends, end) }
+func (s *Stage) AtEnd(end func()) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.ends = append(s.ends, end)
+}
 
 // FreeAddress returns a loopback address with a TCP port that is free now.
 func FreeAddress() (string, error) {
