--- a/review/stage/engine.go
+++ b/review/stage/engine.go
@@ -22,8 +22,8 @@
 	At        time.Time
 }
 
-// Engine is a stand-in for an engine that speaks RESP. It runs what it is sent at once, gives up what is aborted or open on a
-// connection that ends, and answers with one page.
+// Engine is a stand-in for an engine that speaks RESP. It runs what it is sent at once, tells every second how far it is, gives up
+// what is aborted or open on a connection that ends, and answers with one page.
 type Engine struct {
 	net.Listener
 	Name string
@@ -35,6 +35,9 @@
 	Result func(f *Fetch) (string, error)
 }
 
+// notePace is the time between two notes of a request's progress, as Platform tells it.
+const notePace = time.Second
+
 // Page is the result of a request: all engines hold the same data.
 func Page(f *Fetch) string { return "id\t" + f.ID + "\tdone\n" }
 
@@ -116,7 +119,14 @@
 			}
 			work := e.Work(f)
 			go func() {
-				time.Sleep(work)
+				for left := work; left > 0; left -= notePace {
+					time.Sleep(min(left, notePace))
+					mutex.Lock()
+					if open[f.ID] == f && left > notePace {
+						reply(f.ID, "TELL", fmt.Sprintf("detail=done,val=%.2f", 1-(left-notePace).Seconds()/work.Seconds()), "")
+					}
+					mutex.Unlock()
+				}
 				mutex.Lock()
 				defer mutex.Unlock()
 				if open[f.ID] == f {
