Memory pressure drops incomplete messages, not connections with open requests

Cause: above 0.35 of the memory limit Loop.receive ended whichever connection it had just read from, if an incomplete message of more than one buffer lay there, without regard to what was open on it.

Change: while buffers take over a fifth of the limit, the message that has been incomplete for longest is dropped. Its protocol releases the bytes, discards the rest as it arrives and returns the request as dropped; the router rejects it as safe to retry. The connection goes on. This works since the memory is freed at its source, and since a fifth lies below the quarter from which whole batches are rejected.

Other paths: frames and TDS sessions mended (between packets, within a packet, before the login). TDS while a login is checked: the connection still ends, no request can be open there. Engines' connections are still ended above 0.35; their requests are retried or get an error, so none is without a final answer. Unread bytes: the peer with most of them is ended, and it does not read answers. Crowded, idle and silent closes never hit open requests.

TestDroppedFrameKeepsItsStream and TestDroppedStatementIsRejected cut at every place. Callers of clients.Session in tests take its address, since it has state now.

--- a/internal/clients/frames.go
+++ b/internal/clients/frames.go
@@ -59,19 +59,58 @@
 func Protocol(pool *buffers.Pool) *traffic.ClientProtocol {
 	return &traffic.ClientProtocol{Name: "frames", IdleTimeout: 5, MaxOpenBatches: 32, MaxResultBytes: maxResultBytes,
 		ConvertResult: func(parts []rows.Part) ([]rows.Part, error) { return rows.AsLines(pool, parts) },
-		New:           func() traffic.Client { return Session{} }}
+		New:           func() traffic.Client { return &Session{} }}
 }
 
-// Session is the protocol state of one client connection. Frames need none: each is complete in itself.
-type Session struct{}
+// Session is the protocol state of one client connection. Each frame is complete in itself, so the state is only the frame that is
+// being dropped.
+type Session struct {
+	droppedType   byte
+	droppedStream uint32
+	droppedLeft   int // bytes of the dropped frame that have not arrived yet; 0: none is being dropped
+}
+
+// HasPartial reports whether a frame is being dropped. Any other incomplete frame stays in the input buffer.
+func (s *Session) HasPartial() bool { return s.droppedLeft > 0 }
+
+// PartialSize returns the number of bytes that the incomplete frame takes.
+func (s *Session) PartialSize(in *buffers.Chain) int { return in.Len() }
+
+// DropPartial releases the incomplete frame in in. The rest of it is discarded as it arrives; Read then returns it as a message
+// without its payload.
+func (s *Session) DropPartial(in *buffers.Chain) bool {
+	var header [headerBytes]byte
+	if in.Peek(0, header[:]) < headerBytes {
+		return false
+	}
+	s.droppedType = header[4]
+	s.droppedStream = binary.LittleEndian.Uint32(header[5:])
+	s.droppedLeft = lengthBytes + int(binary.LittleEndian.Uint32(header[:])) - in.Len()
+	in.Release()
+	return true
+}
 
-// HasPartial returns false: an incomplete frame stays in the input buffer.
-func (Session) HasPartial() bool { return false }
+// skipDropped discards what has arrived of the frame that is being dropped, and returns its message once all of it has.
+func (s *Session) skipDropped(in *buffers.Chain) traffic.ClientMessage {
+	arrived := min(s.droppedLeft, in.Len())
+	in.Discard(arrived)
+	s.droppedLeft -= arrived
+	switch {
+	case s.droppedLeft > 0:
+		return nil
+	case s.droppedType == FrameBatch:
+		return &traffic.BatchRequest{Stream: s.droppedStream, Dropped: true}
+	}
+	return controlMessage(s.droppedType, s.droppedStream)
+}
 
 // Read removes the next frame from in and returns its message, or nil if the frame is not complete yet. Any error is an
 // ErrMalformedFrame. A complete batch with invalid fields is returned with an error of its own, so that the connection stays
 // usable.
-func (Session) Read(in, _ *buffers.Chain) (traffic.ClientMessage, error) {
+func (s *Session) Read(in, _ *buffers.Chain) (traffic.ClientMessage, error) {
+	if s.droppedLeft > 0 {
+		return s.skipDropped(in), nil
+	}
 	var header [headerBytes]byte
 	if in.Peek(0, header[:]) < lengthBytes {
 		return nil, nil
@@ -95,13 +134,18 @@
 		return request, nil
 	}
 	in.Discard(size - minFrameLength)
-	switch header[4] {
+	return controlMessage(header[4], stream), nil
+}
+
+// controlMessage returns the message of a frame whose payload does not matter.
+func controlMessage(frameType byte, stream uint32) traffic.ClientMessage {
+	switch frameType {
 	case FrameCancel:
-		return traffic.Cancel{Stream: stream}, nil
+		return traffic.Cancel{Stream: stream}
 	case FrameReadinessQuery:
-		return traffic.ReadinessQuery{Stream: stream}, nil
+		return traffic.ReadinessQuery{Stream: stream}
 	}
-	return traffic.InvalidMessage{Stream: stream}, nil
+	return traffic.InvalidMessage{Stream: stream}
 }
 
 // fields holds the fields of a batch as text; empty: absent.
@@ -288,7 +332,7 @@
 var answerCodes = [...]byte{traffic.Succeeded: CodeSucceeded, traffic.Rejected: CodeRejected, traffic.Failed: CodeFailed}
 
 // Encode writes a message to a client as a frame. An error that belongs to no batch is sent as an answer to stream 0.
-func (Session) Encode(out *buffers.Chain, message traffic.ClientReply) {
+func (*Session) Encode(out *buffers.Chain, message traffic.ClientReply) {
 	switch m := message.(type) {
 	case *traffic.Answer:
 		writeAnswer(out, m)
--- a/internal/clients/frames_test.go
+++ b/internal/clients/frames_test.go
@@ -30,7 +30,7 @@
 	stream := frame(FrameBatch, 7, batchPayload) + frame(FrameCancel, 7, "") + frame(FrameReadinessQuery, 8, "\x00") + frame(99, 4, "?")
 	for i := range len(stream) {
 		in.WriteString(stream[i : i+1])
-		f, err := Session{}.Read(in, nil)
+		f, err := (&Session{}).Read(in, nil)
 		require.NoError(t, err)
 		if f != nil {
 			got = append(got, f)
@@ -38,7 +38,7 @@
 	}
 	in.WriteString(stream)
 	for range 4 {
-		f, err := Session{}.Read(in, nil)
+		f, err := (&Session{}).Read(in, nil)
 		require.NoError(t, err)
 		got = append(got, f)
 	}
@@ -54,11 +54,50 @@
 	assert.Zero(t, pool.InUse(), "all buffers are released")
 }
 
+// A frame that is dropped as it arrives keeps its type and stream, and the frames behind it are read as usual.
+func TestDroppedFrameKeepsItsStream(t *testing.T) {
+	for kind, want := range map[byte]traffic.ClientMessage{FrameBatch: &traffic.BatchRequest{Stream: 7, Dropped: true},
+		FrameCancel: traffic.Cancel{Stream: 7}, FrameReadinessQuery: traffic.ReadinessQuery{Stream: 7}, 99: traffic.InvalidMessage{Stream: 7}} {
+		dropped, next := frame(kind, 7, batchPayload), frame(FrameCancel, 8, "")
+		for cut := 1; cut < len(dropped); cut++ {
+			pool, s := &buffers.Pool{}, &Session{}
+			in := pool.Chain()
+			in.WriteString(dropped[:cut])
+			message, err := s.Read(in, nil)
+			require.NoError(t, err)
+			require.Nil(t, message)
+			if cut < headerBytes {
+				require.False(t, s.DropPartial(in), "its stream is not known yet")
+				continue
+			}
+			require.True(t, s.DropPartial(in))
+			assert.Zero(t, pool.InUse())
+			assert.True(t, s.HasPartial())
+			for _, c := range dropped[cut : len(dropped)-1] {
+				in.Write([]byte{byte(c)})
+				message, err = s.Read(in, nil)
+				require.NoError(t, err)
+				require.Nil(t, message)
+				require.Zero(t, pool.InUse())
+			}
+			in.WriteString(dropped[len(dropped)-1:] + next)
+			message, err = s.Read(in, nil)
+			require.NoError(t, err)
+			assert.Equal(t, want, message)
+			assert.False(t, s.HasPartial())
+			message, err = s.Read(in, nil)
+			require.NoError(t, err)
+			assert.Equal(t, traffic.Cancel{Stream: 8}, message)
+			assert.Zero(t, pool.InUse())
+		}
+	}
+}
+
 func TestMalformedFrameIsAnError(t *testing.T) {
 	for _, text := range []string{"\x04\x00\x00\x00", "\x01\x00\x04\x00", "GET / HTTP/1.1\r\n"} {
 		in := (&buffers.Pool{}).Chain()
 		in.WriteString(text)
-		_, err := Session{}.Read(in, nil)
+		_, err := (&Session{}).Read(in, nil)
 		require.ErrorIs(t, err, ErrMalformedFrame, "%q", text)
 	}
 }
@@ -91,7 +130,7 @@
 	for _, text := range append(bad, payload(good...)) {
 		in := (&buffers.Pool{}).Chain()
 		in.WriteString(frame(FrameBatch, 1, text))
-		f, err := Session{}.Read(in, nil)
+		f, err := (&Session{}).Read(in, nil)
 		require.NoError(t, err)
 		assert.Equal(t, text != payload(good...), f.(*traffic.BatchRequest).Err != nil, "%q", text)
 	}
@@ -108,9 +147,9 @@
 	out, one, two := pool.Chain(), pool.Chain(), pool.Chain()
 	one.WriteString("a\tb\tc\n")
 	two.WriteString("d\te\tf\n")
-	Session{}.Encode(out, &traffic.Answer{Stream: 3, Rows: []rows.Part{{Data: one}, {}, {Data: two}}})
-	Session{}.Encode(out, &traffic.Answer{Stream: 4, Code: traffic.Rejected, RetryAfter: 0.25})
-	Session{}.Encode(out, traffic.GoAway{})
+	(&Session{}).Encode(out, &traffic.Answer{Stream: 3, Rows: []rows.Part{{Data: one}, {}, {Data: two}}})
+	(&Session{}).Encode(out, &traffic.Answer{Stream: 4, Code: traffic.Rejected, RetryAfter: 0.25})
+	(&Session{}).Encode(out, traffic.GoAway{})
 	want := frame(FrameAnswer, 3, "\x00\x00a\tb\tc\nd\te\tf\n") + frame(FrameAnswer, 4, "\x0b\x01\x01w\x03\x00250") + frame(FrameGoAway, 0, "")
 	assert.Equal(t, want, out.String())
 }
@@ -122,7 +161,7 @@
 		in := pool.Chain()
 		in.Write(text)
 		for {
-			message, err := Session{}.Read(in, nil)
+			message, err := (&Session{}).Read(in, nil)
 			if message == nil || err != nil {
 				break
 			}
--- a/internal/loop/crossings_test.go
+++ b/internal/loop/crossings_test.go
@@ -168,6 +168,14 @@
 // startRouter starts a router. If via is not nil, it gets the address of the name service and returns the address that the
 // router queries instead. The listed engines are those that the router is configured with.
 func startRouter(t *testing.T, descriptors int, via func(names string) string, listed ...directory.Engine) *testRouter {
+	return startRouterWithMemory(t, defaultMemoryMB, descriptors, via, listed...)
+}
+
+// defaultMemoryMB is the memory limit of routers whose test does not depend on it.
+const defaultMemoryMB = 192
+
+// startRouterWithMemory is startRouter with a memory limit.
+func startRouterWithMemory(t *testing.T, memoryMB, descriptors int, via func(names string) string, listed ...directory.Engine) *testRouter {
 	names, err := standin.NewNameService("127.0.0.1:0")
 	require.NoError(t, err)
 	free, err := net.Listen("tcp", "127.0.0.1:0")
@@ -179,8 +187,8 @@
 	if via != nil {
 		resolver = via(resolver)
 	}
-	c, err := config.Parse(fmt.Appendf(nil, `{"listen":%q,"resolver":%q,"seed":"9","limits":{"memory_mb":192,"sockets":%d},"settings":%s}`,
-		p.address, resolver, descriptors, platformSettings))
+	c, err := config.Parse(fmt.Appendf(nil, `{"listen":%q,"resolver":%q,"seed":"9","limits":{"memory_mb":%d,"sockets":%d},"settings":%s}`,
+		p.address, resolver, memoryMB, descriptors, platformSettings))
 	require.NoError(t, err)
 	if len(listed) > 0 {
 		c.KnownEngines = directory.List{Serial: 1, Engines: listed}
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -28,11 +28,12 @@
 )
 
 const (
-	// The next five bound memory. Fractions are of the memory limit.
+	// The next six bound memory. Fractions are of the memory limit.
 	maxPeerUnsentBytes  = 2 << 20 // unsent bytes of one peer; larger than all answers of one connection together
 	peerUnsentFraction  = 0.05    // unsent bytes of one peer, if this is less than maxPeerUnsentBytes
 	totalUnsentFraction = 0.15    // unsent bytes of all peers
-	bufferedFraction    = 0.35    // all buffers in use; above it connections with a large incomplete message are closed
+	bufferedFraction    = 0.35    // all buffers in use; above it connections to engines with a large incomplete reply are closed
+	partialFraction     = 0.2     // all buffers in use; above it incomplete messages are dropped, before batches are rejected
 	freeBufferFraction  = 0.05    // free buffers kept for reuse
 
 	defaultMemoryMB     = 64                     // the memory limit if none is configured
@@ -90,11 +91,12 @@
 	unsent   int  // bytes that wait to be written, as last counted
 	slow     bool // the router was told that this client reads too slowly
 
-	opening      bool // the router is being told that it was accepted
-	hasPartial   bool // part of a message was received, and the router knows
-	lingering    bool // this side has ended it and reads until the peer closes
-	acceptedLate bool // it was accepted after the loop had begun to stop
-	rejecting    bool // requests on it are rejected
+	opening      bool      // the router is being told that it was accepted
+	hasPartial   bool      // part of a message was received, and the router knows
+	partialSince time.Time // when that part began to arrive
+	lingering    bool      // this side has ended it and reads until the peer closes
+	acceptedLate bool      // it was accepted after the loop had begun to stop
+	rejecting    bool      // requests on it are rejected
 }
 
 // Loop connects the router to its sockets. Its methods run on the event loop.
@@ -116,7 +118,8 @@
 	unsentBytes      int                // of all peers
 	maxUnsent        int                // bytes, of all peers
 	maxPeerUnsent    int                // bytes, of one peer
-	maxBuffered      int                // bytes in buffers
+	maxBuffered      int                // bytes in buffers, for connections to engines
+	maxPartial       int                // bytes in buffers, for incomplete messages of clients
 
 	guard                *guard.Guard
 	protocolOut, encoded *buffers.Chain // scratch space, empty except while a message is encoded
@@ -383,14 +386,15 @@
 		l.processEvent(event)
 	}
 	if l.isOpen(p) && !p.hasPartial && (p.received.Len() > 0 || p.client != nil && p.client.HasPartial()) {
-		p.hasPartial = true
+		p.hasPartial, p.partialSince = true, time.Now()
 		if p.kind == clientPeer {
 			l.processEvent(router.ClientMessageStarted{Client: p.number})
 		} else {
 			l.processEvent(router.EngineReplyStarted{Connection: p.number})
 		}
 	}
-	if l.isOpen(p) && p.received.Len() > buffers.Size && l.pool.InUse()*buffers.Size > l.maxBuffered {
+	l.dropPartialMessages()
+	if l.isOpen(p) && p.kind == enginePeer && p.received.Len() > buffers.Size && l.pool.InUse()*buffers.Size > l.maxBuffered {
 		l.failConnection(p, router.BufferLimitExceeded)
 	}
 }
@@ -591,7 +595,8 @@
 
 // setLimits computes the bounds on memory from the configuration.
 func (l *Loop) setLimits() {
-	l.maxUnsent, l.maxBuffered = memoryFraction(totalUnsentFraction, l.config), memoryFraction(bufferedFraction, l.config)
+	l.maxUnsent = memoryFraction(totalUnsentFraction, l.config)
+	l.maxBuffered, l.maxPartial = memoryFraction(bufferedFraction, l.config), memoryFraction(partialFraction, l.config)
 	l.maxPeerUnsent = min(maxPeerUnsentBytes, memoryFraction(peerUnsentFraction, l.config))
 	l.pool.MaxFree = memoryFraction(freeBufferFraction, l.config) / buffers.Size
 }
--- a/internal/router/batches.go
+++ b/internal/router/batches.go
@@ -101,6 +101,10 @@
 		return
 	}
 	c.lastStream = ask.Stream
+	if ask.Dropped {
+		r.sendAnswer(&batch{client: c, stream: ask.Stream}, r.overloadedAnswer())
+		return
+	}
 	group := r.groups[request.Group]
 	if request.NoIdempotencyKey && r.unmarkedGroups[request.Group] != nil {
 		group = r.unmarkedGroups[request.Group]
@@ -124,8 +128,7 @@
 	}
 	maxBatches, maxTextBytes := r.config.Settings.MaxQueued, batchMemoryShare*float64(r.config.MemoryMB)*(1<<20)
 	if maxBatches > 0 && len(r.batches) >= maxBatches || maxTextBytes > 0 && float64(r.pool.InUse()*buffers.Size) > maxTextBytes {
-		// The router has no capacity for the batch. Nothing of it has run, so it can be rejected as safe to retry.
-		r.sendAnswer(b, &traffic.Answer{Code: traffic.Rejected, RetryAfter: r.config.Settings.MaxRetryDelay})
+		r.sendAnswer(b, r.overloadedAnswer())
 		request.Text.Release()
 		return
 	}
@@ -152,6 +155,12 @@
 	r.level.batchArrived(b)
 }
 
+// overloadedAnswer returns the answer to a batch for which the router has no capacity. Nothing of it has run, so it can be rejected
+// as safe to retry.
+func (r *Router) overloadedAnswer() *traffic.Answer {
+	return &traffic.Answer{Code: traffic.Rejected, RetryAfter: r.config.Settings.MaxRetryDelay}
+}
+
 // findRoute returns the operator's limits for a batch. The batch keeps them even if a reload replaces the routes.
 // dataSet is the number of the batch's data set; below 0: none.
 func (r *Router) findRoute(c *client, request *traffic.Batch, dataSet float64) *limits.Route {
--- a/internal/tds/session.go
+++ b/internal/tds/session.go
@@ -68,6 +68,9 @@
 	messageType, messageStatus byte   // from the first packet of the message that is being received
 	message                    []byte // its payload so far; nil: no message has begun
 	oversized                  bool   // it exceeds maxMessageSize; its payload is discarded
+	dropped                    bool   // its payload is discarded for lack of memory
+	droppedPacket              packet // the packet that is being discarded while it arrives
+	droppedLeft                int    // bytes of it that have not arrived yet; 0: none is being discarded
 
 	login       login
 	client      string           // returned by Server.Authenticate
@@ -84,6 +87,15 @@
 	out                 writer
 }
 
+// messageProblem is why the payload of a whole message is missing.
+type messageProblem uint8
+
+const (
+	messageIntact    messageProblem = iota
+	messageOversized                // it exceeds maxMessageSize
+	messageDropped                  // there was no memory for it
+)
+
 // preparedStatement is the text of a prepared statement and the declaration of its parameters.
 type preparedStatement struct{ text, declaration string }
 
@@ -96,19 +108,66 @@
 }
 
 // HasPartial reports whether part of a message has been received.
-func (s *Session) HasPartial() bool { return s.message != nil }
+func (s *Session) HasPartial() bool { return s.message != nil || s.droppedLeft > 0 }
+
+// PartialSize returns the number of bytes that the incomplete message takes.
+func (s *Session) PartialSize(in *buffers.Chain) int { return len(s.message) + in.Len() }
+
+// DropPartial releases the incomplete message and has the rest of it discarded as it arrives. It returns false while a login is
+// being checked, since what follows the login is not read before that.
+func (s *Session) DropPartial(in *buffers.Chain) bool {
+	if s.state == authenticating || s.state == closed {
+		return false
+	}
+	s.dropped = true
+	if s.message != nil {
+		s.message = []byte{}
+	}
+	if in.Len() >= headerSize {
+		s.droppedPacket, _, _ = peekPacket(in) // Read has found no fault in it
+		s.droppedLeft = s.droppedPacket.size - in.Len()
+		s.droppedPacket.size = 0
+		in.Release()
+	}
+	return true
+}
+
+// nextPacket returns the header of the next packet. ok is set if the packet has arrived whole; a size of 0 says that its bytes
+// are discarded already.
+func (s *Session) nextPacket(in *buffers.Chain) (p packet, ok bool, err error) {
+	if s.droppedLeft == 0 {
+		return peekPacket(in)
+	}
+	arrived := min(s.droppedLeft, in.Len())
+	in.Discard(arrived)
+	s.droppedLeft -= arrived
+	return s.droppedPacket, s.droppedLeft == 0, nil
+}
+
+// endMessage returns the message that is complete now, and prepares the session for the next one.
+func (s *Session) endMessage() (payload []byte, problem messageProblem) {
+	payload = s.message
+	switch {
+	case s.oversized:
+		problem = messageOversized
+	case s.dropped:
+		problem = messageDropped
+	}
+	s.message, s.oversized, s.dropped = nil, false, false
+	return payload, problem
+}
 
 // Read parses the next client message from in and returns its event, or nil if no whole message is there. Responses that
 // the session gives by itself are written to out. After an error nothing more can be read.
 func (s *Session) Read(in, out *buffers.Chain) (traffic.ClientMessage, error) {
 	for s.state != authenticating && s.state != closed {
-		p, ok, err := peekPacket(in)
+		p, ok, err := s.nextPacket(in)
 		if err != nil || !ok {
 			return nil, err
 		}
 		if p.packetType == packetAttention {
 			in.Discard(p.size)
-			s.message, s.oversized = nil, false // an Attention cancels a partly sent message
+			s.endMessage() // an Attention cancels a partly sent message
 			if event := s.attention(out); event != nil {
 				return event, nil
 			}
@@ -123,7 +182,8 @@
 		if p.packetType != s.messageType {
 			return nil, fmt.Errorf("%w: a packet of type %d in a message of type %d", ErrProtocol, p.packetType, s.messageType)
 		}
-		if s.oversized = s.oversized || len(s.message)+p.size > maxMessageSize; s.oversized {
+		s.oversized = s.oversized || len(s.message)+p.size > maxMessageSize
+		if s.oversized || s.dropped {
 			in.Discard(p.size)
 		} else {
 			s.message = p.appendPayload(in, s.message)
@@ -131,13 +191,12 @@
 		if p.status&statusEOM == 0 {
 			continue
 		}
-		message, oversized := s.message, s.oversized
-		s.message, s.oversized = nil, false
+		message, problem := s.endMessage()
 		if p.status&statusIgnore != 0 {
 			s.respond(out, func(b []byte) []byte { return appendDone(b, tokenDone, doneError, 0) })
 			return traffic.HandledLocally{}, nil
 		}
-		if event, err := s.handleMessage(message, oversized, out); event != nil || err != nil {
+		if event, err := s.handleMessage(message, problem, out); event != nil || err != nil {
 			return event, err
 		}
 	}
@@ -203,12 +262,11 @@
 	return nil, m
 }
 
-// handleMessage processes a whole client message according to the session's state. The payload of an oversized message
-// is not in b.
-func (s *Session) handleMessage(b []byte, oversized bool, out *buffers.Chain) (traffic.ClientMessage, error) {
+// handleMessage processes a whole client message according to the session's state. b is empty if there is a problem.
+func (s *Session) handleMessage(b []byte, problem messageProblem, out *buffers.Chain) (traffic.ClientMessage, error) {
 	switch s.state {
 	case expectPrelogin:
-		if s.messageType != packetPrelogin || oversized {
+		if s.messageType != packetPrelogin || problem != messageIntact {
 			return nil, errLoginExpected
 		}
 		p, err := parsePrelogin(b)
@@ -226,7 +284,7 @@
 		if s.messageType == packetSSPI {
 			return s.sendFatalError(out, errLoginMethod)
 		}
-		if s.messageType != packetLogin7 || oversized {
+		if s.messageType != packetLogin7 || problem != messageIntact {
 			return nil, errLoginExpected
 		}
 		return s.handleLogin(b, out)
@@ -235,8 +293,11 @@
 	if s.messageStatus&(statusResetConnection|statusResetKeepTran) != 0 {
 		s.reset()
 	}
-	if oversized {
+	switch problem {
+	case messageOversized:
 		return s.sendError(out, unsupportedError(fmt.Sprintf("a statement of more than %d bytes", maxMessageSize))), nil
+	case messageDropped:
+		return s.sendError(out, failureMessage(&traffic.Answer{Code: traffic.Rejected})), nil
 	}
 	switch s.messageType {
 	case packetBatch:
--- a/internal/tds/tds_test.go
+++ b/internal/tds/tds_test.go
@@ -485,6 +485,43 @@
 	assert.NotNil(t, pair.query("SELECT a"))
 }
 
+// A statement that is dropped for lack of memory while it arrives must be rejected as safe to retry, wherever it was cut, and the
+// session must stay usable.
+func TestDroppedStatementIsRejected(t *testing.T) {
+	for cut := 1; ; cut += 97 {
+		pair := newPair(t).login()
+		pair.engine.Send(pair.toSession, "q", "SELECT '"+strings.Repeat("x", 3000)+"'", nil)
+		request := pair.toSession.Bytes()
+		pair.toSession.Release()
+		if cut >= len(request) {
+			break
+		}
+		in := pair.pool.Chain()
+		in.Write(request[:cut])
+		pair.deliverToSession(in)
+		require.True(t, pair.session.DropPartial(in))
+		require.LessOrEqual(t, pair.session.PartialSize(in), headerSize)
+		in.Write(request[cut:])
+		pair.deliverToSession(in)
+		require.NoError(t, pair.sessionErr)
+		assert.Equal(t, []traffic.ClientMessage{traffic.HandledLocally{}}, pair.events)
+		pair.run()
+		_, last := pair.result()
+		require.Equal(t, traffic.ReplyOverloaded, last.Kind, "cut at %d of %d", cut, len(request))
+		require.NotNil(t, pair.query("SELECT a"), "cut at %d of %d", cut, len(request))
+	}
+}
+
+// What follows a login can't be skipped while the login is checked.
+func TestMessageBehindALoginIsNotDropped(t *testing.T) {
+	pair := newPair(t)
+	pair.session.state = authenticating
+	in := pair.pool.Chain()
+	in.Write(make([]byte, 10000))
+	assert.False(t, pair.session.DropPartial(in))
+	assert.Equal(t, 10000, pair.session.PartialSize(in))
+}
+
 // An engine that sends an endless token must be disconnected once the token exceeds maxTokenSize.
 func TestEndlessTokenIsAnError(t *testing.T) {
 	pair := newPair(t).login()
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -44,6 +44,8 @@
 		Stream uint32
 		Batch  Batch
 		Err    error // not nil: the request is complete, but its content can't be used
+		// Dropped: the content was discarded as it arrived, for lack of memory, so the request can only be rejected.
+		Dropped bool
 	}
 	// Cancel says that the client no longer waits for a batch.
 	Cancel struct{ Stream uint32 }
@@ -124,6 +126,14 @@
 	Read(in, owed *buffers.Chain) (ClientMessage, error)
 	// HasPartial reports whether the state holds part of a message.
 	HasPartial() bool
+	// PartialSize returns the size in bytes of the incomplete message, of which in holds the part that was not read yet. Call
+	// it only after Read has returned no message.
+	PartialSize(in *buffers.Chain) int
+	// DropPartial releases the incomplete message, of which in holds the part that was not read yet, and has the rest of it
+	// discarded as it arrives. Once it has arrived, a request among such messages is rejected; the connection goes on as
+	// before. It returns false if the protocol can't skip the message, so that only the end of the connection frees its
+	// memory; no request is open on such a connection. Call it only after Read has returned no message.
+	DropPartial(in *buffers.Chain) bool
 	// Encode writes a reply to out.
 	Encode(out *buffers.Chain, reply ClientReply)
 }
