TDS: an incomplete message counts as held memory

Callers lose all that is open when the process is killed for memory.

Cause: tds.Session collected a message of up to 256 KB in a byte slice of its own, while all bounds on memory look at the pool of buffers.

Change: the message is a chain of the pool. The end of a connection frees it.

--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -311,7 +311,8 @@
 }
 
 // releasePeer reports the end of a connection to the guard (which checks the router's actions against its own record of open
-// requests and connections), removes it from the accounts of unsent bytes, and frees its received data.
+// requests and connections), removes it from the accounts of unsent bytes, and frees its received data, also that which its protocol
+// holds.
 func (l *Loop) releasePeer(p *peer) {
 	if p.kind == clientPeer {
 		l.guard.ClientClosed(p.number)
@@ -319,6 +320,9 @@
 		l.guard.EngineDisconnected(p.number)
 	}
 	p.received.Release()
+	if p.client != nil {
+		p.client.DropPartial(p.received)
+	}
 	l.unsentBytes -= p.unsent
 	p.unsent = 0
 	delete(l.unsentPeers, p)
--- a/internal/tds/session.go
+++ b/internal/tds/session.go
@@ -65,12 +65,12 @@
 	state              state
 	requiresEncryption bool // the client's PRELOGIN demands encryption
 
-	messageType, messageStatus byte   // from the first packet of the message that is being received
-	message                    []byte // its payload so far; nil: no message has begun
-	oversized                  bool   // it exceeds maxMessageSize; its payload is discarded
-	dropped                    bool   // its payload is discarded for lack of memory
-	droppedPacket              packet // the packet that is being discarded while it arrives
-	droppedLeft                int    // bytes of it that have not arrived yet; 0: none is being discarded
+	messageType, messageStatus byte           // from the first packet of the message that is being received
+	message                    *buffers.Chain // its payload so far; nil: no message has begun
+	oversized                  bool           // it exceeds maxMessageSize; its payload is discarded
+	dropped                    bool           // its payload is discarded for lack of memory
+	droppedPacket              packet         // the packet that is being discarded while it arrives
+	droppedLeft                int            // bytes of it that have not arrived yet; 0: none is being discarded
 
 	login       login
 	client      string           // returned by Server.Authenticate
@@ -111,7 +111,7 @@
 func (s *Session) HasPartial() bool { return s.message != nil || s.droppedLeft > 0 }
 
 // PartialSize returns the number of bytes that the incomplete message takes.
-func (s *Session) PartialSize(in *buffers.Chain) int { return len(s.message) + in.Len() }
+func (s *Session) PartialSize(in *buffers.Chain) int { return s.message.Len() + in.Len() }
 
 // DropPartial releases the incomplete message and has the rest of it discarded as it arrives. It returns false while a login is
 // being checked, since what follows the login is not read before that.
@@ -120,9 +120,7 @@
 		return false
 	}
 	s.dropped = true
-	if s.message != nil {
-		s.message = []byte{}
-	}
+	s.message.Release()
 	if in.Len() >= headerSize {
 		s.droppedPacket, _, _ = peekPacket(in) // Read has found no fault in it
 		s.droppedLeft = s.droppedPacket.size - in.Len()
@@ -146,7 +144,8 @@
 
 // endMessage returns the message that is complete now, and prepares the session for the next one.
 func (s *Session) endMessage() (payload []byte, problem messageProblem) {
-	payload = s.message
+	payload = s.message.Bytes()
+	s.message.Release()
 	switch {
 	case s.oversized:
 		problem = messageOversized
@@ -177,16 +176,16 @@
 			return nil, fmt.Errorf("%w: a request before the one before is answered", ErrProtocol)
 		}
 		if s.message == nil {
-			s.messageType, s.messageStatus, s.message = p.packetType, p.status, []byte{}
+			s.messageType, s.messageStatus, s.message = p.packetType, p.status, s.server.Pool.Chain()
 		}
 		if p.packetType != s.messageType {
 			return nil, fmt.Errorf("%w: a packet of type %d in a message of type %d", ErrProtocol, p.packetType, s.messageType)
 		}
-		s.oversized = s.oversized || len(s.message)+p.size > maxMessageSize
+		s.oversized = s.oversized || s.message.Len()+p.size > maxMessageSize
 		if s.oversized || s.dropped {
 			in.Discard(p.size)
 		} else {
-			s.message = p.appendPayload(in, s.message)
+			p.movePayload(in, s.message)
 		}
 		if p.status&statusEOM == 0 {
 			continue
--- a/internal/tds/tds_test.go
+++ b/internal/tds/tds_test.go
@@ -512,6 +512,29 @@
 	}
 }
 
+// The bytes of a message that is still arriving must count as held by the pool, before the login too: 300 clients that never
+// completed their PRELOGIN took the router over its memory limit. The end of the connection must free them.
+func TestIncompleteMessageIsCountedAndFreed(t *testing.T) {
+	for _, login := range []bool{false, true} {
+		pair, packetType := newPair(t), byte(packetPrelogin)
+		if login {
+			pair.login()
+			packetType = packetBatch
+		}
+		in := pair.pool.Chain()
+		packets := writer{packetType: packetType, packetSize: defaultPacketSize, buf: make([]byte, maxMessageSize/2)}
+		packets.flushFull(in)
+		sent := in.Len()
+		pair.deliverToSession(in)
+		require.NoError(t, pair.sessionErr)
+		assert.GreaterOrEqual(t, pair.pool.InUse()*buffers.Size, sent*9/10)
+		assert.GreaterOrEqual(t, pair.session.PartialSize(in), sent*9/10)
+		in.Release()
+		pair.session.DropPartial(in)
+		assert.Zero(t, pair.pool.InUse())
+	}
+}
+
 // What follows a login can't be skipped while the login is checked.
 func TestMessageBehindALoginIsNotDropped(t *testing.T) {
 	pair := newPair(t)
--- a/internal/tds/wire.go
+++ b/internal/tds/wire.go
@@ -96,6 +96,14 @@
 	return out
 }
 
+// movePayload consumes the packet and appends its payload to out.
+func (p packet) movePayload(in, out *buffers.Chain) {
+	in.Discard(headerSize)
+	payload := in.Cut(p.size - headerSize)
+	out.Append(payload)
+	payload.Release()
+}
+
 // writer splits messages into packets. Bytes that do not fill a packet stay in buf until more are added or the message
 // ends.
 type writer struct {
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -132,7 +132,8 @@
 	// DropPartial releases the incomplete message, of which in holds the part that was not read yet, and has the rest of it
 	// discarded as it arrives. Once it has arrived, a request among such messages is rejected; the connection goes on as
 	// before. It returns false if the protocol can't skip the message, so that only the end of the connection frees its
-	// memory; no request is open on such a connection. Call it only after Read has returned no message.
+	// memory; no request is open on such a connection. Call it only after Read has returned no message, or with an empty in at
+	// the end of the connection.
 	DropPartial(in *buffers.Chain) bool
 	// Encode writes a reply to out.
 	Encode(out *buffers.Chain, reply ClientReply)
