Lingering connections keep neither unreadable bytes nor incomplete requests

While a connection lingers as it is closed, rejectRequests appended all that arrived to its chain. Behind bytes that can't be parsed nothing was ever taken out, and an incomplete request stayed until it was whole; no bound on memory looks at lingering connections, and at a stop all clients linger. Callers would see a router that is killed for memory.

Change: bytes behind unreadable ones are not read; an incomplete request is dropped as it arrives and rejected once it is whole, by the step that serves memory pressure. Its content is not needed for a rejection.

Other paths: open connections end at the first unreadable byte; after our side is shut nothing is kept.

--- a/internal/loop/linger.go
+++ b/internal/loop/linger.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"pitchfield/internal/buffers"
 	"pitchfield/internal/reactor"
 	"pitchfield/internal/traffic"
 )
@@ -58,12 +59,19 @@
 	return p
 }
 
-// rejectRequests rejects the requests that a client sends on a connection that is being closed.
+// rejectRequests rejects the requests that a client sends on a connection that is being closed. Their content is not needed, so
+// what has arrived of an incomplete one is released.
 func (l *Loop) rejectRequests(p *peer, data []byte) {
 	p.received.Write(data) //nolint:errcheck // it never fails
 	for {
 		message, err := p.client.Read(p.received, l.protocolOut)
-		if message == nil || err != nil {
+		if err != nil { // nothing after it can be read
+			p.rejecting = false
+			p.received.Release()
+			break
+		}
+		if message == nil {
+			l.dropLingeringPartial(p)
 			break
 		}
 		switch m := message.(type) {
@@ -78,6 +86,15 @@
 	l.protocolOut.Release()
 }
 
+// dropLingeringPartial drops the incomplete message of a lingering connection. If its protocol can't skip the message, no further
+// request can be read on the connection.
+func (l *Loop) dropLingeringPartial(p *peer) {
+	if !p.client.DropPartial(p.received) && p.received.Len() > buffers.Size {
+		p.rejecting = false
+		p.received.Release()
+	}
+}
+
 // closeWrite shuts down the sending side of a connection once nothing is unsent. Until the deadline it also waits on a
 // connection that was accepted late, so that its client can send a request, and on one that can't be read at the moment,
 // since requests in its socket were sent before the end.
--- a/internal/tds/session.go
+++ b/internal/tds/session.go
@@ -119,7 +119,7 @@
 	if s.state == authenticating || s.state == closed {
 		return false
 	}
-	s.dropped = true
+	s.dropped = s.dropped || s.message != nil || in.Len() > 0
 	s.message.Release()
 	if in.Len() >= headerSize {
 		s.droppedPacket, _, _ = peekPacket(in) // Read has found no fault in it
