Hedges: whether a second copy may go is asked again when it is sent

Cause: shouldHedge asks when a copy is queued whether rows of the first attempt are on their way, and pickBatch and mayDispatch did not ask again. A copy that waited for its route's concurrency was sent amid the stream; at 48,000 bytes startStreaming aborted the first attempt, which ended the client's wait, and forwardRows read the client.

Change: mayHedgeNow holds what may change (rows on their way, the route's share of copies, the level, the fleet's load) and is asked when a copy is queued and when it is sent; a copy whose condition has ended leaves the queue and the first attempt goes on. startStreaming forwards by the way that looks whether the client still waits.

Other paths: all queued copies leave by pickBatch (concurrency, gate, engines, quota); copies that wait for a connection are aborted unwritten as streaming begins; retries have no attempt out, and their budgets are asked at the sending already; frames and RESP never stream, but copies past the share went out there too.

Tests: TestQueuedHedgeIsDroppedWhenItsConditionEnds (three conditions, red before), TestQueuedHedgeIsNotSentOnceRowsAreStreamed (2 attempts for 1 and the panic before).

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -630,14 +630,13 @@
 func (r *Router) PrepareShutdown() { r.stopping = true }
 
 // mayDispatch reports whether another dispatch of a batch is allowed: no cancellation of an earlier one is
-// unconfirmed, the batch has tries left and is safe to retry, the fleet's load permits a hedge if a dispatch
-// is in flight, and the retry budgets of the route and the router permit a retry. It does not check the
-// deadline.
+// unconfirmed, the batch has tries left and is safe to retry, a hedge is still permitted if a dispatch is in
+// flight, and the retry budgets of the route and the router permit a retry. It does not check the deadline.
 func (r *Router) mayDispatch(b *Batch) bool {
 	// An exhausted retry budget of its route ends the batch at once: others would wait behind it, and its retry
 	// would meet the same failure. Drawback: the failure may be over a moment later, when a retry would succeed.
 	return !b.unconfirmed && len(b.dispatches) < r.maxTries(b) && r.safeToRetry(b, r.tick) &&
-		(b.InFlight == 0 || r.load < maxHedgeLoad) &&
+		(b.InFlight == 0 || r.mayHedgeNow(b)) &&
 		(len(b.dispatches) == 0 || b.Route.MayRetrySoon(r.now) && r.retryBudget.MayRetrySoon(r.now))
 }
 
@@ -766,19 +765,25 @@
 	return r.now+usual < attempt.batch.deadline && (lost || slow || silent)
 }
 
-// shouldHedge reports whether a second copy of a batch is to be sent: the first has taken longer than the
-// quantile that its route names, so another engine may well answer sooner. No copies are sent while the fleet
-// is full or at a level of reduced service, as they add work. Drawback: all are copied where all engines are
-// slow at once; the route's share of copies bounds that.
+// shouldHedge reports whether a second copy of a batch is to be queued: the first has taken longer than the
+// quantile that its route names, so another engine may well answer sooner. Drawback: all are copied where all
+// engines are slow at once; the route's share of copies bounds that.
 func (r *Router) shouldHedge(attempt *dispatch) bool {
 	b := attempt.batch
-	return b.Route.MayHedge(r.now) && r.mayHedge && b.Group.Idempotency == Idempotent && b.InFlight == 1 &&
-		!b.Streaming && !attempt.cancelRequested && r.reduced.isZero() && r.load < maxHedgeLoad &&
-		!slices.Contains(r.queue, b) &&
+	return r.mayHedgeNow(b) && !attempt.cancelRequested && !slices.Contains(r.queue, b) &&
 		r.now-attempt.sentAt-(r.totalPause-attempt.pausedBefore) >
 			b.timeAlone*b.Group.stretch.quantile(b.Route.Hedging.AfterQuantile, 8)
 }
 
+// mayHedgeNow reports whether a second copy of a batch in flight may be sent now. It is asked when the copy is
+// queued and again when it is sent, as a copy may wait for long: for capacity of its route, the gate or an
+// engine. No copies are sent while the fleet is full or at a level of reduced service, as they add work, nor
+// once rows of the first dispatch have been passed on: rows of two dispatches can't be mixed.
+func (r *Router) mayHedgeNow(b *Batch) bool {
+	return b.Route.MayHedge(r.now) && r.mayHedge && b.Group.Idempotency == Idempotent && b.InFlight == 1 &&
+		!b.Streaming && r.reduced.isZero() && r.load < maxHedgeLoad
+}
+
 // nextDispatch returns the batch to dispatch next and its engine, or nil while the gate is closed or nothing
 // fits. A batch passes the gate if the score of its engine is below the admission threshold, and otherwise
 // with a chance of threshold over score.
--- a/brain/routes_test.go
+++ b/brain/routes_test.go
@@ -118,6 +118,44 @@
 	return h.engines[0].inFlight, h.engines[1].inFlight, h.engines[2].inFlight
 }
 
+// newQueuedHedge returns a host with a batch whose hedge waits for capacity of its route, which other occupies.
+func newQueuedHedge(t *testing.T) (h *host, hedged, other *Batch) {
+	h, _, r := newHedgingHost(t, nil)
+	r.Concurrency = &limits.ConcurrencyLimit{Name: "c", PerRouter: 2, OnLimit: limits.QueueBatch}
+	limits.NewTable([]*limits.Route{r})
+	hedged = h.addBatch(func(b *Batch) { b.EstimatedWork, b.Route = 0.02, r })
+	other = h.addBatch(func(b *Batch) { b.EstimatedWork, b.Route = 20, r })
+	require.Equal(t, [2]int{1, 1}, [2]int{hedged.InFlight, other.InFlight})
+	h.advance(0.4)
+	require.Contains(t, h.queue, hedged, "the hedge waits")
+	return h, hedged, other
+}
+
+// A hedge that waits must be dropped when its condition ends. It was sent after rows of the first dispatch had been passed on to the
+// client, and the rows of two dispatches met.
+func TestQueuedHedgeIsDroppedWhenItsConditionEnds(t *testing.T) {
+	for name, edit := range map[string]func(*host, *Batch){
+		"rows have left":     func(_ *host, b *Batch) { b.Streaming = true },
+		"a level":            func(h *host, _ *Batch) { h.SetReducedService(ReducedService{GiveUpFactor: 2}) },
+		"the share is spent": func(h *host, b *Batch) { b.Route.CountHedge(h.now); b.Route.CountHedge(h.now) },
+		"":                   func(*host, *Batch) {},
+	} {
+		h, hedged, other := newQueuedHedge(t)
+		edit(h, hedged)
+		h.endDispatch(other, Completed)
+		h.advance(0.5)
+		want := 1
+		if name == "" {
+			want = 2
+		}
+		assert.Len(t, h.decisions(Dispatch, hedged), want, name)
+		assert.Equal(t, name == "", hedged.InFlight == 2, name)
+		h.endDispatchNumber(hedged, 0, Completed)
+		h.advance(4)
+		assert.Empty(t, append(h.decisions(Reject, hedged), h.decisions(Fail, hedged)...), name)
+	}
+}
+
 func TestHedgeGoesToAnotherZoneAndNotToADrainingEngine(t *testing.T) {
 	h, list, r := newHedgingHost(t, func(_ *Settings, c *limits.HedgePolicy) { c.OtherZone = true })
 	for _, e := range list {
--- a/internal/router/copies_test.go
+++ b/internal/router/copies_test.go
@@ -8,46 +8,92 @@
 	"github.com/stretchr/testify/require"
 
 	"pitchfield/internal/limits"
+	"pitchfield/internal/rows"
 	"pitchfield/internal/traffic"
 )
 
-// newHostWithHedge returns a router with a hedged batch: two dispatches of it are outstanding, on the two connections returned.
-func newHostWithHedge(t *testing.T) (h *host, stream uint32, id string, connections [2]uint64) {
+// newHostForHedges returns a router whose batches have a route with hedging, after 20 of them were completed.
+func newHostForHedges(t *testing.T, concurrency *limits.ConcurrencyLimit) *host {
 	other := eastEngine("s-2")
 	other.Address = "10.0.0.2:80"
-	h = newHostWith(t, strings.Replace(testSettings, `"attempts-cap":3,`, `"attempts-cap":3,"cancel":true,"may-duplicate":true,`, 1), eastEngine("s-1"), other)
-	h.deliver(RoutesSet{Routes: limits.NewTable([]*limits.Route{{Name: "r", Pattern: limits.Fields{Group: "lookup"}, Hedging: &limits.HedgePolicy{AfterQuantile: 0.9, MaxRatio: 0.2}}})})
-	connectAll := func() {
-		for _, d := range h.dials {
-			if l := h.connections[d.Connection]; l != nil && !l.Up {
-				h.deliver(EngineOpened{d.Connection})
-			}
-		}
-	}
+	h := newHostWith(t, strings.Replace(testSettings, `"attempts-cap":3,`, `"attempts-cap":3,"cancel":true,"may-duplicate":true,`, 1), eastEngine("s-1"), other)
+	h.deliver(RoutesSet{Routes: limits.NewTable([]*limits.Route{{Name: "r", Pattern: limits.Fields{Group: "lookup"}, Concurrency: concurrency,
+		Hedging: &limits.HedgePolicy{AfterQuantile: 0.9, MaxRatio: 0.2}}})})
 	for range 20 {
 		_, id := h.sendBatch("lookup", 4000)
-		connectAll()
+		h.connectAll()
 		h.advance(0.02)
-		for number, text := range h.written {
-			if h.connections[number] != nil && strings.Contains(text, id) {
-				h.engineReply(number, id, "DONE", "sheets=1,toil=20,room=4", "a\t2\t3\n")
-			}
-		}
+		h.completeOn(h.connectionsOf(id), id)
 		h.advance(0.2)
 	}
-	stream, id = h.sendBatch("lookup", 4000)
-	for n := 0; n < 2; h.advance(0.02) {
-		n = 0
-		connectAll()
-		for _, d := range h.dials {
-			if h.connections[d.Connection] != nil && strings.Contains(h.written[d.Connection], id) {
-				connections[n] = d.Connection
-				n++
-			}
+	return h
+}
+
+// connectionsOf returns the open connections on which a batch was written, in the order in which they were dialled.
+func (h *host) connectionsOf(id string) (numbers []uint64) {
+	for _, d := range h.dials {
+		if h.connections[d.Connection] != nil && strings.Contains(h.written[d.Connection], id) {
+			numbers = append(numbers, d.Connection)
 		}
+	}
+	return numbers
+}
+
+// completeOn has a batch completed on connections.
+func (h *host) completeOn(numbers []uint64, id string) {
+	for _, number := range numbers {
+		h.engineReply(number, id, "DONE", "sheets=1,toil=20,room=4", "a\t2\t3\n")
+	}
+}
+
+// newHostWithHedge returns a router with a hedged batch: two dispatches of it are outstanding, on the two connections returned.
+func newHostWithHedge(t *testing.T) (h *host, stream uint32, id string, connections [2]uint64) {
+	h = newHostForHedges(t, nil)
+	stream, id = h.sendBatch("lookup", 4000)
+	for len(h.connectionsOf(id)) < 2 {
+		h.connectAll()
+		h.advance(0.02)
 		require.Less(t, h.now, 110.0, "no hedged dispatch is sent")
 	}
-	return h, stream, id, connections
+	return h, stream, id, [2]uint64(h.connectionsOf(id))
+}
+
+// streamRows delivers rows of a streamed result.
+func (h *host) streamRows(connection uint64, id string, bytes int) {
+	part := rows.Part{Data: h.pool.Chain()}
+	part.Data.WriteString(strings.Repeat("x", bytes))
+	h.deliver(EngineReplied{connection, &traffic.EngineReply{ID: id, Kind: traffic.ReplyRows, Rows: part}})
+}
+
+// A second copy waits for capacity when rows of the first attempt begin to reach the client. It was sent as soon as there was
+// capacity; its own rows then ended the first attempt, and with it the router's process.
+func TestQueuedHedgeIsNotSentOnceRowsAreStreamed(t *testing.T) {
+	for _, streams := range []bool{false, true} {
+		h := newHostForHedges(t, &limits.ConcurrencyLimit{Name: "c", PerRouter: 2, OnLimit: limits.QueueBatch})
+		h.clients[1].protocol.Stream = true
+		for _, e := range h.engines {
+			e.protocol.BoundedResult = false
+		}
+		_, id := h.sendBatch("lookup", 4000)
+		_, other := h.sendBatch("lookup", 4000)
+		h.connectAll()
+		h.advance(0.16) // the copy is queued, and no attempt has timed out
+		first := h.connectionsOf(id)
+		require.Len(t, first, 1)
+		if streams {
+			h.streamRows(first[0], id, streamThreshold+1)
+			require.True(t, h.openByID[id].Streaming)
+		}
+		h.completeOn(h.connectionsOf(other), other)
+		h.connectAll()
+		h.advance(0.05)
+		h.connectAll()
+		assert.Equal(t, map[bool]int{false: 2, true: 1}[streams], h.fetchCount(id))
+		for _, number := range h.connectionsOf(id) {
+			h.streamRows(number, id, streamThreshold+1)
+		}
+		assert.NotNil(t, h.openByID[id], "the client still waits for the rest")
+	}
 }
 
 func TestFirstHedgedAnswerWinsAndOtherDispatchIsCancelled(t *testing.T) {
--- a/internal/router/streams.go
+++ b/internal/router/streams.go
@@ -59,7 +59,7 @@
 	d.pages, d.streaming = nil, true
 	r.log(Debug, "streams", "id", d.batch.id, "engine", d.engine.name)
 	for _, p := range parts {
-		r.forwardRows(d, p)
+		r.storePart(d, p)
 	}
 }
 
