Streams: no time-out or restart for the sake of a retry cuts a result

Seen by callers: a TDS client gets part of its rows and error 50510 with most of its time left.

Cause: the time-out of an attempt leaves time for a retry, and a restart cancels it for a fresh start. Once rows are on their way to the client there is no retry, endDispatch answers "the result is cut", and neither step asked for that.

Change: as rows begin to reach the client the attempt's deadline becomes that of its batch, and a batch that streams is not restarted. A route's time-out counts until then, as it does not count for once-only batches.

By reading, not mended: rows are no sign of life to the module, so an engine may be set aside while it streams slowly; it costs placement, no answer.

Tests, red before: TestStreamOutlastsTheTimeOutOfItsAttempt, TestStreamingDispatchIsNotRestarted (three reasons).

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -701,7 +701,7 @@
 			mayRetry := group.Idempotency == Idempotent ||
 				group.Idempotency == Deduplicated && r.now+1 < attempt.sentAt+group.DedupWindow
 			mayRetry = mayRetry && len(attempt.batch.dispatches) < r.maxTries(attempt.batch) &&
-				attempt.batch.Route.MayRetrySoon(r.now) && !attempt.batch.Done
+				attempt.batch.Route.MayRetrySoon(r.now) && !attempt.batch.Done && !attempt.batch.Streaming
 			if r.mayCancel && !attempt.cancelRequested && mayRetry && r.shouldRestart(attempt) {
 				attempt.cancelRequested = true
 				r.pending = append(r.pending, Decision{Kind: Cancel, Batch: attempt.batch, Number: attempt.number})
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -347,6 +347,27 @@
 	assert.Empty(t, h.decisions(Cancel, late), "engines no longer recognize its repeats")
 }
 
+// A restart of a dispatch whose rows have begun to reach the client only cuts the result, since it can't be retried.
+func TestStreamingDispatchIsNotRestarted(t *testing.T) {
+	for name, edit := range map[string]func(*host, *Batch){
+		"its updates have stopped": func(*host, *Batch) {},
+		"it is slow":               func(h *host, b *Batch) { h.DispatchUpdated(b, 0, Progress, 0.01) },
+		"its engine is ejected":    func(_ *host, b *Batch) { b.dispatches[0].engine.ejectedUntil = 1e9 },
+	} {
+		for _, streams := range []bool{false, true} {
+			s := testSettings(&ServiceGroup{Idempotency: Idempotent, Goal: 5, Limit: 30, Threads: 1})
+			s.MayCancel, s.UpdateInterval = true, 1
+			h, _ := newHost(t, s, 2)
+			b := h.addBatch(func(b *Batch) { b.EstimatedWork = 1 })
+			b.Streaming = streams
+			h.advance(2)
+			edit(h, b)
+			h.advance(1)
+			assert.Equal(t, !streams, len(h.decisions(Cancel, b)) == 1, "%s, streams: %t", name, streams)
+		}
+	}
+}
+
 func TestTimeOutLeavesTimeForARetryWithinTheGoal(t *testing.T) {
 	h, _ := newHost(t, testSettings(lookupGroup()), 2)
 	for range 40 {
--- a/brain/types.go
+++ b/brain/types.go
@@ -139,7 +139,7 @@
 	InFlight        int           // dispatches without an outcome
 	Shed            bool          // rejected by the level of reduced service
 	Route           *limits.Route // the operator's limits that apply to it; nil: none
-	Streaming       bool          // rows of its answer have been passed on to the client
+	Streaming       bool          // rows of its answer have been passed on to the client, so it is not dispatched again
 
 	batchState
 }
--- a/internal/router/copies_test.go
+++ b/internal/router/copies_test.go
@@ -96,6 +96,35 @@
 	}
 }
 
+// The time-out of an attempt leaves time for a retry. Once rows are on their way to the client none is possible, and the time-out
+// cut results that had most of their time left.
+func TestStreamOutlastsTheTimeOutOfItsAttempt(t *testing.T) {
+	h := newHostForHedges(t, &limits.ConcurrencyLimit{Name: "c", PerRouter: 1, OnLimit: limits.QueueBatch})
+	h.clients[1].protocol.Stream = true
+	for _, e := range h.engines {
+		e.protocol.BoundedResult = false
+	}
+	stream, id := h.sendBatch("lookup", 4000)
+	h.connectAll()
+	connections := h.connectionsOf(id)
+	require.Len(t, connections, 1)
+	h.streamRows(connections[0], id, streamThreshold+1)
+	h.advance(3)
+	require.NotContains(t, h.answers, stream)
+	h.streamRows(connections[0], id, 100)
+	h.deliver(EngineReplied{connections[0], &traffic.EngineReply{ID: id, Kind: traffic.ReplyComplete, Work: -1, Memory: -1}})
+	assert.Equal(t, answerOK, h.answers[stream])
+
+	stream, id = h.sendBatch("lookup", 4000)
+	h.advance(0.3) // past the admission gate
+	h.connectAll()
+	connections = h.connectionsOf(id)
+	require.Len(t, connections, 1)
+	h.streamRows(connections[0], id, streamThreshold+1)
+	h.advance(4)
+	assert.Equal(t, answerFailed, h.answers[stream], "it ends in time all the same")
+}
+
 func TestFirstHedgedAnswerWinsAndOtherDispatchIsCancelled(t *testing.T) {
 	for first := range 2 {
 		h, stream, id, connections := newHostWithHedge(t)
--- a/internal/router/streams.go
+++ b/internal/router/streams.go
@@ -47,7 +47,8 @@
 }
 
 // startStreaming sends the buffered rows of a result to the client; later rows follow as they arrive. Hedged dispatches of the
-// batch are cancelled first, because rows of two dispatches can't be mixed. The decision module sends no others from here on.
+// batch are cancelled first, because rows of two dispatches can't be mixed. The decision module sends no others from here on, so
+// the dispatch may take all the time that its batch has left: a time-out for the sake of a retry would only cut the result.
 func (r *Router) startStreaming(d *dispatch) {
 	d.batch.Streaming = true
 	for _, other := range slices.Clone(d.batch.dispatches) {
@@ -55,6 +56,11 @@
 			r.abortDispatch(other, brain.Canceled)
 		}
 	}
+	if !d.cancelled && d.deadline < d.batch.Deadline() {
+		r.timers.stop(d.timer)
+		d.deadline = d.batch.Deadline()
+		d.timer = r.timers.add(d.deadline, d)
+	}
 	parts := d.pages
 	d.pages, d.streaming = nil, true
 	r.log(Debug, "streams", "id", d.batch.id, "engine", d.engine.name)
