Inlined parameters join none of the tokens around them

Cause: rows.Inline put a literal where the parameter's name had stood, byte for byte. `10-@back` with -3 became `10--3`; two hyphens open a comment, which took the other conditions.

Change: a literal is separated from what it would join (an operator before a sign; a quote or a point on either side), and a number below 0 gets parentheses where *, /, % or : follows, which bind more tightly than a sign in Transact-SQL.

Tests, red before: TestInlineKeepsTheTokensAroundALiteral (12 of 15 texts wrong), TestInlineKeepsAllOtherTokens (property, fails at `-@n`).

--- /dev/null
+++ b/internal/rows/inline.go
@@ -0,0 +1,96 @@
+package rows
+
+import (
+	"fmt"
+	"strings"
+
+	"pitchfield/internal/statement"
+)
+
+// Literal writes the value of a parameter as an SQL literal. Quotes in a text are doubled, so it can't end its literal
+// early.
+func Literal(p Parameter) (string, error) {
+	if p.Null {
+		return "NULL", nil
+	}
+	text, err := Format(p.Type, p.Value)
+	if err != nil {
+		return "", err
+	}
+	switch p.Kind {
+	case Bit, Int8, Int16, Int32, Int64, Float32, Float64, Decimal, Money, SmallMoney, Bytes:
+		return text, nil
+	case Text:
+		return "N'" + strings.ReplaceAll(text, "'", "''") + "'", nil
+	}
+	return "'" + text + "'", nil
+}
+
+// Inline replaces the names of parameters in the text of a statement by literals, for engines that don't support
+// parameters. Names are matched without regard to case; those in strings, quoted names and comments are left alone. The
+// tokens around a literal keep their meaning: it is separated from what it would join, and an operator that binds more
+// tightly than the sign of a number applies to the whole number.
+func Inline(text string, parameters []Parameter) (string, error) {
+	if len(parameters) == 0 {
+		return text, nil
+	}
+	literals := make(map[string]string, len(parameters))
+	for _, p := range parameters {
+		l, err := Literal(p)
+		if err != nil {
+			return "", fmt.Errorf("parameter %s: %w", p.Name, err)
+		}
+		literals[strings.ToLower(p.Name)] = l
+	}
+	var out strings.Builder
+	copied := 0
+	tokens := statement.Tokenize(text)
+	for i, token := range tokens {
+		literal, found := literals[strings.ToLower(token.Text)]
+		if !found || token.Quoted {
+			continue
+		}
+		if isNegative(literal) && i+1 < len(tokens) && bindsTighterThanSign(tokens[i+1]) {
+			literal = "(" + literal + ")"
+		}
+		out.WriteString(text[copied:token.Start])
+		if joinsBefore(text[:token.Start], literal) {
+			out.WriteByte(' ')
+		}
+		out.WriteString(literal)
+		if joinsBehind(text[token.End:]) {
+			out.WriteByte(' ')
+		}
+		copied = token.End
+	}
+	out.WriteString(text[copied:])
+	return out.String(), nil
+}
+
+// isNegative reports whether a literal is a number with a sign.
+func isNegative(literal string) bool { return strings.HasPrefix(literal, "-") }
+
+// bindsTighterThanSign reports whether an operator begins with the token that applies to the digits before it without
+// their sign: in Transact-SQL -6 / 4 is -(6 / 4), and elsewhere -6::text is -(6::text).
+func bindsTighterThanSign(token statement.Token) bool {
+	return !token.Quoted && strings.Contains("*/%:", token.Text)
+}
+
+// joinsBefore reports whether a literal would form another token with the end of the text before it: a longer string or
+// number, or a comment or operator with the sign of a number.
+func joinsBefore(before, literal string) bool {
+	if before == "" {
+		return false
+	}
+	last := rune(before[len(before)-1])
+	return strings.ContainsRune(joiningBytes, last) || isNegative(literal) && !strings.ContainsRune(" \t\r\n(", last)
+}
+
+// joinsBehind reports whether a literal would form another token with the beginning of the text behind it.
+func joinsBehind(behind string) bool {
+	return behind != "" && strings.ContainsRune(joiningBytes, rune(behind[0]))
+}
+
+// joiningBytes join a literal that directly follows or precedes one of them: a string continues after a doubled quote, a
+// number after a point. Letters and digits need no care: next to them a name is no parameter.
+const joiningBytes = `'".`
--- a/internal/rows/rows_test.go
+++ b/internal/rows/rows_test.go
@@ -1,12 +1,16 @@
 package rows
 
 import (
+	"encoding/binary"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 
 	"pitchfield/internal/buffers"
+	"pitchfield/internal/statement"
 )
 
 func TestFormatWritesSQLText(t *testing.T) {
@@ -43,6 +47,68 @@
 	assert.Equal(t, "SELECT N'O''Hara; @a1', '@a', [@a], N'x' -- @a\n, @@a /* @a */ FROM t WHERE x=N'O''Hara; @a1'", got)
 }
 
+// numberParameter returns a parameter that is an integer.
+func numberParameter(name string, v int32) Parameter {
+	return Parameter{Column: Column{Name: name, Type: Type{Kind: Int32}}, Value: binary.LittleEndian.AppendUint32(nil, uint32(v))}
+}
+
+// A literal must not form another token with its neighbours: a minus before a number below 0 opened a comment, which took the rest of
+// the conditions with it, and clients were served the rows of others.
+func TestInlineKeepsTheTokensAroundALiteral(t *testing.T) {
+	parameters := []Parameter{numberParameter("@n", -3), numberParameter("@p", 7),
+		{Column: Column{Name: "@t", Type: Type{Kind: Text}}, Value: []byte("x")},
+		{Column: Column{Name: "@d", Type: Type{Kind: Date}}, Value: []byte{0, 0, 0}},
+		{Column: Column{Name: "@b", Type: Type{Kind: Bytes}}, Value: []byte{1}},
+		{Column: Column{Name: "@z", Type: Type{Kind: Int32}}, Null: true}}
+	for text, want := range map[string]string{
+		"WHERE due > 10-@n AND client = @p": "WHERE due > 10- -3 AND client = 7",
+		"SELECT 1 -@n":                      "SELECT 1 - -3",
+		"SELECT - @n, -(@n)":                "SELECT - -3, -(-3)",
+		"SELECT -@n":                        "SELECT - -3",
+		"SELECT@n, (@b), @z+1":              "SELECT@n, (0x01), NULL+1",
+		"SELECT 1.@p, @p.5":                 "SELECT 1. 7, 7 .5",
+		"SELECT 9%@n, 9=@n, 9>@n":           "SELECT 9% -3, 9= -3, 9> -3",
+		"SELECT @p'alias',@p\"alias\"":      "SELECT 7 'alias',7 \"alias\"",
+		"SELECT @t'alias'":                  "SELECT N'x' 'alias'",
+		"SELECT 'a'@d":                      "SELECT 'a' '0001-01-01'",
+		"SELECT 100/@n*10, 100/@n % 2":      "SELECT 100/(-3)*10, 100/(-3) % 2",
+		"SELECT @n/2, @n::text, @n -- */":   "SELECT (-3)/2, (-3)::text, -3 -- */",
+		"SELECT @n /* */ *2":                "SELECT (-3) /* */ *2",
+		"SELECT @p/2, @p-1, @n-1, @n+@n":    "SELECT 7/2, 7-1, -3-1, -3+ -3",
+		"EXEC p @n, @p":                     "EXEC p -3, 7",
+	} {
+		got, err := Inline(text, parameters)
+		require.NoError(t, err)
+		assert.Equal(t, want, got)
+	}
+}
+
+// Inline must leave as many tokens as there were, with those of the literals in place of the names.
+func TestInlineKeepsAllOtherTokens(t *testing.T) {
+	parameters := []Parameter{numberParameter("@n", -3), numberParameter("@p", 7),
+		{Column: Column{Name: "@t", Type: Type{Kind: Text}}, Value: []byte("it's -- /* x")}}
+	literalTokens := map[string][]string{"@n": {"-", "3"}, "@p": {"7"}, "@t": {"N", "'"}}
+	pieces := []string{"@n", "@p", "@t", "-", "SELECT ", " ", "(", ")", "1", ",", "'s'", "\"q\"", "[b]", "=", "+", "--c\n", "/*c*/"}
+	rapid.Check(t, func(t *rapid.T) {
+		text := strings.Join(rapid.SliceOfN(rapid.SampledFrom(pieces), 1, 12).Draw(t, "pieces"), "")
+		var want []string
+		for _, token := range statement.Tokenize(text) {
+			if tokens, is := literalTokens[token.Text]; is && !token.Quoted {
+				want = append(want, tokens...)
+			} else {
+				want = append(want, token.Text)
+			}
+		}
+		inlined, err := Inline(text, parameters)
+		require.NoError(t, err)
+		var got []string
+		for _, token := range statement.Tokenize(inlined) {
+			got = append(got, token.Text)
+		}
+		assert.Equal(t, want, got, "%q became %q", text, inlined)
+	})
+}
+
 func TestLinesRejectInexpressibleResults(t *testing.T) {
 	pool := &buffers.Pool{}
 	three := []Column{{Name: "a", Type: Type{Kind: Text}}, {Name: "b", Type: Type{Kind: Int8}}, {Name: "c", Type: Type{Kind: Text}}}
--- a/internal/rows/values.go
+++ b/internal/rows/values.go
@@ -10,8 +10,6 @@
 	"strings"
 	"time"
 	"unicode/utf8"
-
-	"pitchfield/internal/statement"
 )
 
 // littleEndianUint decodes an unsigned little-endian number of up to eight bytes.
@@ -193,49 +191,3 @@
 	digits := strconv.FormatInt(n, 10)
 	return insertDecimalPoint(strings.TrimPrefix(digits, "-"), 4, n < 0)
 }
-
-// Literal writes the value of a parameter as an SQL literal. Quotes in a text are doubled, so it can't end its literal
-// early.
-func Literal(p Parameter) (string, error) {
-	if p.Null {
-		return "NULL", nil
-	}
-	text, err := Format(p.Type, p.Value)
-	if err != nil {
-		return "", err
-	}
-	switch p.Kind {
-	case Bit, Int8, Int16, Int32, Int64, Float32, Float64, Decimal, Money, SmallMoney, Bytes:
-		return text, nil
-	case Text:
-		return "N'" + strings.ReplaceAll(text, "'", "''") + "'", nil
-	}
-	return "'" + text + "'", nil
-}
-
-// Inline replaces the names of parameters in the text of a statement by literals, for engines that don't support
-// parameters. Names are matched without regard to case; those in strings, quoted names and comments are left alone.
-func Inline(text string, parameters []Parameter) (string, error) {
-	if len(parameters) == 0 {
-		return text, nil
-	}
-	literals := make(map[string]string, len(parameters))
-	for _, p := range parameters {
-		l, err := Literal(p)
-		if err != nil {
-			return "", fmt.Errorf("parameter %s: %w", p.Name, err)
-		}
-		literals[strings.ToLower(p.Name)] = l
-	}
-	var out strings.Builder
-	copied := 0
-	for _, w := range statement.Tokenize(text) {
-		if l, ok := literals[strings.ToLower(w.Text)]; ok && !w.Quoted {
-			out.WriteString(text[copied:w.Start])
-			out.WriteString(l)
-			copied = w.End
-		}
-	}
-	out.WriteString(text[copied:])
-	return out.String(), nil
-}
