Literals of float parameters have an exponent

A TDS client's float of 5 is written as the integer 5 into a statement for an engine that speaks RESP, so that `@f / 2` is 2 and other rows come back.

Cause: rows.Literal used the text that results get, which has an exponent only where it is shorter.

Change: without one it gets `e0`, which makes a float of it in SQL. Results are unchanged.

Test, red before (4 of 6 values, both sizes): TestFloatLiteralsHaveAnExponent. Packages rows, tds and engines pass.

--- a/internal/rows/inline.go
+++ b/internal/rows/inline.go
@@ -18,7 +18,12 @@
 		return "", err
 	}
 	switch p.Kind {
-	case Bit, Int8, Int16, Int32, Int64, Float32, Float64, Decimal, Money, SmallMoney, Bytes:
+	case Bit, Int8, Int16, Int32, Int64, Decimal, Money, SmallMoney, Bytes:
+		return text, nil
+	case Float32, Float64:
+		if !strings.Contains(text, "e") {
+			text += "e0" // without an exponent it would be an integer or a decimal
+		}
 		return text, nil
 	case Text:
 		return "N'" + strings.ReplaceAll(text, "'", "''") + "'", nil
--- a/internal/rows/rows_test.go
+++ b/internal/rows/rows_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"math"
 	"strings"
 	"testing"
 
@@ -83,6 +84,18 @@
 	}
 }
 
+// A float without an exponent is an integer or a decimal to an engine: with a value of 5, @f / 2 was 2.
+func TestFloatLiteralsHaveAnExponent(t *testing.T) {
+	for v, want := range map[float64]string{5: "5e0", -5: "-5e0", 0: "0e0", 0.5: "0.5e0", 1e21: "1e+21", -2.5e-9: "-2.5e-09"} {
+		got, err := Literal(Parameter{Column: Column{Type: Type{Kind: Float64}}, Value: binary.LittleEndian.AppendUint64(nil, math.Float64bits(v))})
+		require.NoError(t, err)
+		assert.Equal(t, want, got)
+		got, err = Literal(Parameter{Column: Column{Type: Type{Kind: Float32}}, Value: binary.LittleEndian.AppendUint32(nil, math.Float32bits(float32(v)))})
+		require.NoError(t, err)
+		assert.Equal(t, want, got)
+	}
+}
+
 // Inline must leave as many tokens as there were, with those of the literals in place of the names.
 func TestInlineKeepsAllOtherTokens(t *testing.T) {
 	parameters := []Parameter{numberParameter("@n", -3), numberParameter("@p", 7),
