TDS: a client's message is assembled in a type of its own

Need: session.go had grown to 734 lines, and the fields of the message that is being received lay among those of the session.

Change: incomingMessage (message.go) takes packets, drops what there is no memory for and returns a whole message with its type, status and problem; what writes responses is in response.go. session.go has 507 lines. Behaviour is as before; the payload of an oversized message is no longer copied.

Tests: FuzzDroppedMessage is new. FuzzSession ends the connection as the loop does before it asks for released buffers, since an incomplete message is held in the pool now.

--- a/internal/tds/fuzz_test.go
+++ b/internal/tds/fuzz_test.go
@@ -106,6 +106,43 @@
 			return event != nil && err == nil
 		})
 		out.Release()
+		pair.session.DropPartial(pair.pool.Chain()) // as at the end of the connection
+		if pair.pool.InUse() != 0 {
+			t.Fatal("buffers were not released")
+		}
+	})
+}
+
+// FuzzDroppedMessage drops what is incomplete of any bytes of a client, in the middle of them. Nothing of a message may be held after
+// that, and all buffers must be released at the end.
+func FuzzDroppedMessage(f *testing.F) {
+	pair := newPair(f)
+	pair.engine.phase = running
+	pair.engine.Send(pair.toSession, "q", "SELECT a", nil)
+	f.Add(pair.toSession.Bytes(), 20)
+	f.Fuzz(func(t *testing.T, b []byte, cut int) {
+		pair := newPair(t).login()
+		cut = min(max(cut, 0), len(b))
+		in := pair.pool.Chain()
+		in.Write(b[:cut])
+		pair.deliverToSession(in)
+		events := len(pair.events)
+		if pair.sessionErr == nil && events == 0 && !pair.session.DropPartial(in) {
+			t.Fatal("the message can't be dropped")
+		}
+		if events == 0 && pair.sessionErr == nil && pair.pool.InUse() > 1 {
+			t.Fatal("the message is still held")
+		}
+		in.Write(b[cut:])
+		pair.deliverToSession(in)
+		for _, event := range pair.events {
+			if a, is := event.(*traffic.BatchRequest); is {
+				a.Batch.Text.Release()
+			}
+		}
+		in.Release()
+		pair.toClient.Release()
+		pair.session.DropPartial(in)
 		if pair.pool.InUse() != 0 {
 			t.Fatal("buffers were not released")
 		}
--- a/internal/tds/session.go
+++ b/internal/tds/session.go
@@ -65,12 +65,7 @@
 	state              state
 	requiresEncryption bool // the client's PRELOGIN demands encryption
 
-	messageType, messageStatus byte           // from the first packet of the message that is being received
-	message                    *buffers.Chain // its payload so far; nil: no message has begun
-	oversized                  bool           // it exceeds maxMessageSize; its payload is discarded
-	dropped                    bool           // its payload is discarded for lack of memory
-	droppedPacket              packet         // the packet that is being discarded while it arrives
-	droppedLeft                int            // bytes of it that have not arrived yet; 0: none is being discarded
+	incoming incomingMessage // the message that is being received
 
 	login       login
 	client      string           // returned by Server.Authenticate
@@ -87,31 +82,14 @@
 	out                 writer
 }
 
-// messageProblem is why the payload of a whole message is missing.
-type messageProblem uint8
-
-const (
-	messageIntact    messageProblem = iota
-	messageOversized                // it exceeds maxMessageSize
-	messageDropped                  // there was no memory for it
-)
-
 // preparedStatement is the text of a prepared statement and the declaration of its parameters.
 type preparedStatement struct{ text, declaration string }
 
-// response is the state of the response that is being written.
-type response struct {
-	isRPC    bool
-	handle   int32         // prepared statement handle to return; 0: none
-	columns  []rows.Column // of the open result set; nil: none is open
-	rowCount uint64
-}
-
 // HasPartial reports whether part of a message has been received.
-func (s *Session) HasPartial() bool { return s.message != nil || s.droppedLeft > 0 }
+func (s *Session) HasPartial() bool { return s.incoming.hasBegun() }
 
 // PartialSize returns the number of bytes that the incomplete message takes.
-func (s *Session) PartialSize(in *buffers.Chain) int { return s.message.Len() + in.Len() }
+func (s *Session) PartialSize(in *buffers.Chain) int { return s.incoming.payload.Len() + in.Len() }
 
 // DropPartial releases the incomplete message and has the rest of it discarded as it arrives. It returns false while a login is
 // being checked, since what follows the login is not read before that.
@@ -119,54 +97,21 @@
 	if s.state == authenticating || s.state == closed {
 		return false
 	}
-	s.dropped = s.dropped || s.message != nil || in.Len() > 0
-	s.message.Release()
-	if in.Len() >= headerSize {
-		s.droppedPacket, _, _ = peekPacket(in) // Read has found no fault in it
-		s.droppedLeft = s.droppedPacket.size - in.Len()
-		s.droppedPacket.size = 0
-		in.Release()
-	}
+	s.incoming.drop(in)
 	return true
 }
 
-// nextPacket returns the header of the next packet. ok is set if the packet has arrived whole; a size of 0 says that its bytes
-// are discarded already.
-func (s *Session) nextPacket(in *buffers.Chain) (p packet, ok bool, err error) {
-	if s.droppedLeft == 0 {
-		return peekPacket(in)
-	}
-	arrived := min(s.droppedLeft, in.Len())
-	in.Discard(arrived)
-	s.droppedLeft -= arrived
-	return s.droppedPacket, s.droppedLeft == 0, nil
-}
-
-// endMessage returns the message that is complete now, and prepares the session for the next one.
-func (s *Session) endMessage() (payload []byte, problem messageProblem) {
-	payload = s.message.Bytes()
-	s.message.Release()
-	switch {
-	case s.oversized:
-		problem = messageOversized
-	case s.dropped:
-		problem = messageDropped
-	}
-	s.message, s.oversized, s.dropped = nil, false, false
-	return payload, problem
-}
-
 // Read parses the next client message from in and returns its event, or nil if no whole message is there. Responses that
 // the session gives by itself are written to out. After an error nothing more can be read.
 func (s *Session) Read(in, out *buffers.Chain) (traffic.ClientMessage, error) {
 	for s.state != authenticating && s.state != closed {
-		p, ok, err := s.nextPacket(in)
+		p, ok, err := s.incoming.nextPacket(in)
 		if err != nil || !ok {
 			return nil, err
 		}
 		if p.packetType == packetAttention {
 			in.Discard(p.size)
-			s.endMessage() // an Attention cancels a partly sent message
+			s.incoming.end() // an Attention cancels a partly sent message
 			if event := s.attention(out); event != nil {
 				return event, nil
 			}
@@ -175,27 +120,18 @@
 		if s.pending {
 			return nil, fmt.Errorf("%w: a request before the one before is answered", ErrProtocol)
 		}
-		if s.message == nil {
-			s.messageType, s.messageStatus, s.message = p.packetType, p.status, s.server.Pool.Chain()
-		}
-		if p.packetType != s.messageType {
-			return nil, fmt.Errorf("%w: a packet of type %d in a message of type %d", ErrProtocol, p.packetType, s.messageType)
-		}
-		s.oversized = s.oversized || s.message.Len()+p.size > maxMessageSize
-		if s.oversized || s.dropped {
-			in.Discard(p.size)
-		} else {
-			p.movePayload(in, s.message)
+		if err := s.incoming.add(p, in, s.server.Pool); err != nil {
+			return nil, err
 		}
 		if p.status&statusEOM == 0 {
 			continue
 		}
-		message, problem := s.endMessage()
+		m := s.incoming.end()
 		if p.status&statusIgnore != 0 {
 			s.respond(out, func(b []byte) []byte { return appendDone(b, tokenDone, doneError, 0) })
 			return traffic.HandledLocally{}, nil
 		}
-		if event, err := s.handleMessage(message, problem, out); event != nil || err != nil {
+		if event, err := s.handleMessage(m, out); event != nil || err != nil {
 			return event, err
 		}
 	}
@@ -218,57 +154,14 @@
 	return event
 }
 
-// respond writes a whole response; fill appends its tokens.
-func (s *Session) respond(out *buffers.Chain, fill func([]byte) []byte) {
-	s.beginResponse()
-	s.out.buf = fill(s.out.buf)
-	s.out.endMessage(out)
-}
-
-// beginResponse starts a response message in the output buffer. If the client has requested a reset of the connection that no
-// response has acknowledged yet, it appends the ENVCHANGE token that acknowledges it.
-func (s *Session) beginResponse() {
-	s.out.beginMessage()
-	if s.resetUnacknowledged {
-		s.resetUnacknowledged = false
-		s.out.buf = append(s.out.buf, tokenEnvChange, 3, 0, envResetConnection, 0, 0)
-	}
-}
-
-// sendError answers the request with an error. The session stays open.
-func (s *Session) sendError(out *buffers.Chain, m Message) traffic.ClientMessage {
-	s.respond(out, func(b []byte) []byte {
-		return appendDone(appendMessage(b, tokenError, m, s.server.Name), s.finalDoneToken(), doneError, 0)
-	})
-	s.response = response{}
-	return traffic.HandledLocally{}
-}
-
-// finalDoneToken returns the DONE token that ends the current response.
-func (s *Session) finalDoneToken() byte {
-	if s.response.isRPC {
-		return tokenDoneProc
-	}
-	return tokenDone
-}
-
-// sendFatalError sends an error and closes the session. It returns the error.
-func (s *Session) sendFatalError(out *buffers.Chain, m Message) (traffic.ClientMessage, error) {
-	s.respond(out, func(b []byte) []byte {
-		return appendDone(appendMessage(b, tokenError, m, s.server.Name), tokenDone, doneError, 0)
-	})
-	s.state = closed
-	return nil, m
-}
-
-// handleMessage processes a whole client message according to the session's state. b is empty if there is a problem.
-func (s *Session) handleMessage(b []byte, problem messageProblem, out *buffers.Chain) (traffic.ClientMessage, error) {
+// handleMessage processes a whole client message according to the session's state.
+func (s *Session) handleMessage(m message, out *buffers.Chain) (traffic.ClientMessage, error) {
 	switch s.state {
 	case expectPrelogin:
-		if s.messageType != packetPrelogin || problem != messageIntact {
+		if m.packetType != packetPrelogin || m.problem != messageIntact {
 			return nil, errLoginExpected
 		}
-		p, err := parsePrelogin(b)
+		p, err := parsePrelogin(m.payload)
 		if err != nil {
 			return nil, err
 		}
@@ -277,37 +170,37 @@
 		writeMessage(out, packetTabularResult, 0, defaultPacketSize, appendPrelogin(nil, prelogin{encryption: encryptNotSupported}))
 		return nil, nil
 	case expectLogin:
-		if s.messageType == packetPrelogin || s.messageType == packetLogin7 && s.requiresEncryption { // a TLS handshake, or a login although encryption was refused
+		if m.packetType == packetPrelogin || m.packetType == packetLogin7 && s.requiresEncryption { // a TLS handshake, or a login although encryption was refused
 			return s.sendFatalError(out, errEncryptionUnsupported)
 		}
-		if s.messageType == packetSSPI {
+		if m.packetType == packetSSPI {
 			return s.sendFatalError(out, errLoginMethod)
 		}
-		if s.messageType != packetLogin7 || problem != messageIntact {
+		if m.packetType != packetLogin7 || m.problem != messageIntact {
 			return nil, errLoginExpected
 		}
-		return s.handleLogin(b, out)
+		return s.handleLogin(m.payload, out)
 	}
 	s.response = response{}
-	if s.messageStatus&(statusResetConnection|statusResetKeepTran) != 0 {
+	if m.status&(statusResetConnection|statusResetKeepTran) != 0 {
 		s.reset()
 	}
-	switch problem {
+	switch m.problem {
 	case messageOversized:
 		return s.sendError(out, unsupportedError(fmt.Sprintf("a statement of more than %d bytes", maxMessageSize))), nil
 	case messageDropped:
 		return s.sendError(out, failureMessage(&traffic.Answer{Code: traffic.Rejected})), nil
 	}
-	switch s.messageType {
+	switch m.packetType {
 	case packetBatch:
-		text, err := parseBatch(b)
+		text, err := parseBatch(m.payload)
 		if err != nil {
 			return nil, err
 		}
 		return s.handleBatch(text, out), nil
 	case packetRPC:
 		s.response.isRPC = true
-		request, err := parseRPC(b)
+		request, err := parseRPC(m.payload)
 		event, err := s.unlessRefused(err, out, func() (traffic.ClientMessage, error) { return s.handleRPC(request, out) })
 		return event, err
 	case packetTransactionManager:
@@ -315,7 +208,7 @@
 	case packetBulkLoad:
 		return s.sendError(out, unsupportedError("bulk load")), nil
 	}
-	return nil, fmt.Errorf("%w: a message of type %d after the login", ErrProtocol, s.messageType)
+	return nil, fmt.Errorf("%w: a message of type %d after the login", ErrProtocol, m.packetType)
 }
 
 // unlessRefused calls next unless err is set. A requestError, from either, is sent to the client and the session stays
@@ -612,123 +505,3 @@
 func isNameRune(r rune) bool {
 	return r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || r >= '0' && r <= '9' || r == '_' || r == '$' || r == '#' || r >= 0x80
 }
-
-// Encode writes rows, a batch's outcome or a connection error to the client. Rows and outcomes of batches that are no
-// longer pending are ignored.
-func (s *Session) Encode(out *buffers.Chain, what traffic.ClientReply) {
-	switch w := what.(type) {
-	case *traffic.Rows:
-		if s.pending && w.Stream == s.stream {
-			s.writeRows(out, w.Part)
-		}
-	case *traffic.Answer:
-		if !s.pending || w.Stream != s.stream {
-			return
-		}
-		s.pending = false
-		if w.Code == traffic.Succeeded {
-			for _, p := range w.Rows {
-				s.writeRows(out, p)
-			}
-			if len(w.Rows) == 0 && s.response.columns == nil {
-				s.beginResponse()
-			}
-			s.finishResponse(out)
-			return
-		}
-		s.beginResponse()
-		s.out.buf = appendDone(appendMessage(s.out.buf, tokenError, failureMessage(w), s.server.Name), s.finalDoneToken(), doneError, 0)
-		s.out.endMessage(out)
-		s.response = response{}
-	case traffic.ConnectionError:
-		if s.state != closed {
-			s.state = closed
-			s.out.buf = appendMessage(s.out.buf, tokenError, Message{50500, 1, 20, "pitchfield: " + w.Reason + "."}, s.server.Name)
-			s.out.buf = appendDone(s.out.buf, tokenDone, doneError|doneServerError, 0)
-			s.out.endMessage(out)
-		}
-	}
-}
-
-// Error numbers that report the outcome of a batch to the client.
-const (
-	ErrorNumberRejected = 40501 // rejected; drivers treat this number as transient and retry
-	ErrorNumberFailed   = 50510 // failed; it may have run
-)
-
-// failureMessage returns the error that reports a rejected or failed batch. A rejection guarantees that the batch has not
-// run and is safe to retry; a failure guarantees nothing.
-func failureMessage(a *traffic.Answer) Message {
-	if a.Code == traffic.Rejected {
-		m := Message{ErrorNumberRejected, 1, 16, "The service is currently busy: the batch is pushed back, and to ask again is harmless."}
-		if a.RetryAfter > 0 {
-			m.Text += fmt.Sprintf(" Retry the request after %d ms.", int(math.Ceil(a.RetryAfter*1000)))
-		}
-		return m
-	}
-	m := Message{ErrorNumberFailed, 1, 16, "pitchfield: the batch is errored, and whether it has run is not known."}
-	if a.Reason != "" {
-		m.Text += " " + a.Reason
-	}
-	return m
-}
-
-// writeRows writes part of a result set, or the count of changed rows. Bytes that do not fill a packet stay in the
-// buffer.
-func (s *Session) writeRows(out *buffers.Chain, p rows.Part) {
-	if p.Columns != nil {
-		s.endResult(doneMore)
-		s.beginResponse()
-		s.response.columns, s.response.rowCount = p.Columns, 0
-		s.out.buf = appendColMetadata(s.out.buf, p.Columns)
-	} else if p.Data == nil && p.Count > 0 && s.response.columns == nil { // a count of changed rows
-		s.out.buf = appendDone(s.out.buf, s.innerDoneToken(), doneMore|doneCount, uint64(p.Count))
-		return
-	}
-	// The error is ignored: rows that do not match their columns were rejected when they were received.
-	_ = rows.Each(p, len(s.response.columns), func(row [][]byte) error {
-		s.out.buf = appendRow(s.out.buf, s.response.columns, row)
-		s.response.rowCount++
-		if len(s.out.buf) > s.out.packetSize {
-			s.out.flushFull(out)
-		}
-		return nil
-	})
-}
-
-// innerDoneToken returns the DONE token that ends a result set within a response.
-func (s *Session) innerDoneToken() byte {
-	if s.response.isRPC {
-		return tokenDoneInProc
-	}
-	return tokenDone
-}
-
-// endResult writes the DONE of the open result set, if there is one.
-func (s *Session) endResult(status int) {
-	if s.response.columns != nil {
-		s.out.buf = appendDone(s.out.buf, s.innerDoneToken(), status|doneCount, s.response.rowCount)
-		s.response.columns = nil
-	}
-}
-
-// finishResponse ends a successful response.
-func (s *Session) finishResponse(out *buffers.Chain) {
-	switch {
-	case s.response.isRPC:
-		s.endResult(doneMore)
-		s.out.buf = appendU32(append(s.out.buf, tokenReturnStatus), 0)
-		if s.response.handle != 0 {
-			s.out.buf = append(appendU16(append(s.out.buf, tokenReturnValue), 0), 0, 1, 0, 0, 0, 0, 0, 0)
-			t := rows.Type{Kind: rows.Int32}
-			s.out.buf = appendValue(appendType(s.out.buf, t), t, appendU32(nil, uint32(s.response.handle)))
-		}
-		s.out.buf = appendDone(s.out.buf, tokenDoneProc, 0, 0)
-	case s.response.columns != nil:
-		s.endResult(0)
-	default:
-		s.out.buf = appendDone(s.out.buf, tokenDone, 0, 0)
-	}
-	s.out.endMessage(out)
-	s.response = response{}
-}
--- a/internal/tds/tds_test.go
+++ b/internal/tds/tds_test.go
@@ -293,7 +293,6 @@
 	assert.Nil(t, pair.query("SET ANSI_NULLS ON; SET LOCK_TIMEOUT 500"))
 	assert.Nil(t, pair.query("USE stock"))
 	assert.Nil(t, pair.query("SET LOCK_TIMEOUT 900"), "the last setting of each key is used")
-	pair.session.messageStatus = 0
 	a := pair.query("SELECT a FROM x_1.b")
 	require.NotNil(t, a)
 	// Engine sets RESETCONNECTION on each request, as connection pools do, so the settings are gone.
