--- a/internal/reactor/stream.go
+++ b/internal/reactor/stream.go
@@ -200,7 +200,6 @@
 	return true
 }
 
-// recordProgress records a successful call.
 // recordProgress records a successful call.
 func (s *Stream) recordProgress() {
 	s.failingSince = time.Time{}
@@ -228,7 +227,6 @@
 	return true
 }
 
-// closeWithError closes the stream and calls the handler's Ended.
 // closeWithError closes the stream and calls the handler's Ended.
 func (s *Stream) closeWithError(err error) {
 	s.reactor.progress = true
