--- a/brain/brain.go
+++ b/brain/brain.go
@@ -775,8 +775,8 @@
 			b.timeAlone*b.Group.stretch.quantile(b.Route.Hedging.AfterQuantile, 8)
 }
 
-// mayHedgeNow reports whether a second copy of a batch in flight may be sent now. It is asked when the copy is
-// queued and again when it is sent, as a copy may wait for long: for capacity of its route, the gate or an
+// mayHedgeNow reports whether a second copy of a batch in flight may be sent now. It is asked when the copy
+// is queued and again when it is sent, as a copy may wait for long: for capacity of its route, the gate or an
 // engine. No copies are sent while the fleet is full or at a level of reduced service, as they add work, nor
 // once rows of the first dispatch have been passed on: rows of two dispatches can't be mixed.
 func (r *Router) mayHedgeNow(b *Batch) bool {
