--- a/review/driver-2/main.go
+++ b/review/driver-2/main.go
@@ -24,6 +24,7 @@
 	"logins":      logins,
 	"prepared":    prepared,
 	"outage":      outage,
+	"twice":       twice,
 	"short":       short,
 	"inline":      inline,
 	"set-list":    setList,
--- a/review/driver-2/short.go
+++ b/review/driver-2/short.go
@@ -3,17 +3,15 @@
 import (
 	"encoding/binary"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"pitchfield/internal/assign"
-	"pitchfield/internal/buffers"
 	"pitchfield/internal/rows"
 	"pitchfield/internal/standin"
-	"pitchfield/internal/tds"
 	"pitchfield/internal/traffic"
 )
 
@@ -23,87 +21,7 @@
 	doneSize  = 13  // bytes of a DONE token
 )
 
-// shortEngine is an engine that speaks TDS. Some of its answers stop short: their message ends after some of the rows, and the DONE
-// token that has to end every response ([MS-TDS] 2.2.7.6) is missing.
-type shortEngine struct {
-	net.Listener
-	w       *world
-	count   *atomic.Int64 // answers of all engines
-	shorted *atomic.Int64
-}
-
-func (e *shortEngine) run() {
-	for {
-		c, err := e.Accept()
-		if err != nil {
-			return
-		}
-		go e.serve(c)
-	}
-}
-
-func (e *shortEngine) serve(c net.Conn) {
-	defer c.Close()
-	pool := &buffers.Pool{}
-	rules := &assign.Rules{Default: &assign.BatchProperties{Group: "any"}}
-	front := &tds.Server{Pool: pool, Name: "engine", Authenticate: func(string, string) (string, error) { return "", nil },
-		Rules: func() *assign.Rules { return rules }}
-	session := front.NewSession()
-	in, out, buffer := pool.Chain(), pool.Chain(), make([]byte, 16<<10)
-	flush := func() { c.Write(out.Bytes()); out.Release() } //nolint:errcheck
-	for {
-		n, err := c.Read(buffer)
-		if err != nil {
-			return
-		}
-		in.Write(buffer[:n])
-		for {
-			event, err := session.Read(in, out)
-			if verify, ok := event.(*traffic.Verify); ok {
-				event, err = verify.Done(verify.Run(), out)
-			}
-			flush()
-			if err != nil {
-				return
-			}
-			if event == nil {
-				break
-			}
-			request, ok := event.(*traffic.BatchRequest)
-			if !ok {
-				continue
-			}
-			text := request.Batch.Text.String()
-			request.Batch.Text.Release()
-			time.Sleep(20 * time.Millisecond)
-			number := e.count.Add(1)
-			short := e.w.trouble && number%10 == 0
-			rowCount := wholeRows
-			if short {
-				rowCount = shortRows
-			}
-			part := rows.Part{Encoding: rows.Values, Data: pool.Chain(), Columns: []rows.Column{{Name: "line", Type: rows.Type{Kind: rows.Int32}},
-				{Name: "note", Type: rows.Type{Kind: rows.Text, Size: 40}}}}
-			for i := range rowCount {
-				rows.AppendValue(part.Data, binary.LittleEndian.AppendUint32(nil, uint32(i)))
-				rows.AppendValue(part.Data, fmt.Appendf(nil, "row %d of %d", i+1, wholeRows))
-			}
-			session.Encode(out, &traffic.Rows{Stream: request.Stream, Part: part})
-			session.Encode(out, &traffic.Answer{Stream: request.Stream})
-			part.Release()
-			answer := out.Bytes()
-			out.Release()
-			if short {
-				e.shorted.Add(1)
-				e.w.notef("answer %d stops short after %d of %d rows: %s", number, shortRows, wholeRows, strings.TrimSpace(text))
-				answer = withoutDone(answer)
-			}
-			c.Write(answer) //nolint:errcheck
-		}
-	}
-}
-
-// withoutDone removes the DONE token from the last packet of a response.
+// withoutDone removes the DONE token, with which every response has to end ([MS-TDS] 2.2.7.6), from the last packet of a response.
 func withoutDone(answer []byte) []byte {
 	last := 0
 	for at := 0; at < len(answer); at += int(binary.BigEndian.Uint16(answer[at+2:])) {
@@ -140,21 +58,20 @@
 // short: one in ten answers of TDS engines stops short. What is passed on of it has failed, and the client has to be able to tell.
 func short(w *world) (string, error) {
 	var count, shorted atomic.Int64
-	var hosts []standin.Host
-	var err error
-	if w.names, err = standin.NewNameService("127.0.0.1:0"); err != nil {
-		return "", err
-	}
-	for i := range 3 {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return "", err
+	err := w.startTDSEngines(3, func(_ *tdsEngine, text string) (*rows.Part, traffic.Code, func([]byte) []byte) {
+		time.Sleep(20 * time.Millisecond)
+		row := func(i int) [3]string { return [3]string{fmt.Sprint(i + 1), fmt.Sprint(wholeRows), "a note"} }
+		number := count.Add(1)
+		if !w.trouble || number%10 != 0 {
+			return textRows(wholeRows, row), traffic.Succeeded, nil
 		}
-		defer l.Close()
-		go (&shortEngine{l, w, &count, &shorted}).run()
-		hosts = append(hosts, standin.Host{ID: fmt.Sprintf("tds-%d", i+1), Zone: "hall", Kind: "std", Address: l.Addr().String()})
+		shorted.Add(1)
+		w.notef("answer %d stops short after %d of %d rows: %s", number, shortRows, wholeRows, strings.TrimSpace(text))
+		return textRows(shortRows, row), traffic.Succeeded, withoutDone
+	})
+	if err != nil {
+		return "", err
 	}
-	w.names.Set(hosts...)
 	r, err := w.newRouter(0, 1, 96, 512, func(r *routerProcess) (string, error) { return tdsSettings(r.tds, 10) })
 	if err != nil {
 		return "", err
@@ -178,7 +95,7 @@
 			read := &tail{Conn: c.Conn}
 			c.Conn = read
 			for n := 1; time.Now().Before(end); n++ {
-				if c.Send(fmt.Sprintf("SELECT line, note FROM sales_17.orders -- client %d, statement %d", i, n)) != nil {
+				if c.Send(fmt.Sprintf("SELECT line, of, note FROM sales_17.orders -- client %d, statement %d", i, n)) != nil {
 					return
 				}
 				reply, err := c.ReadReply(6 * time.Second)
@@ -201,6 +118,39 @@
 			}
 		}()
 	}
+	for i := range 4 {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			c, err := standin.Dial(r.frames)
+			if err != nil {
+				w.notef("frames client %d: %v", i, err)
+				return
+			}
+			defer c.Close()
+			for n := 1; time.Now().Before(end); n++ {
+				id := fmt.Sprintf("%016x", rand.Uint64())
+				if c.SendBatch(uint32(n), "lookup", id, 4*time.Second, fmt.Sprintf("SELECT line, of, note FROM sales_17.orders -- frames client %d, statement %d", i, n)) != nil {
+					return
+				}
+				answer, err := c.ReadFrame(5 * time.Second)
+				got := strings.Count(answer.Body, "\n")
+				switch {
+				case err != nil:
+					w.notef("frames client %d, statement %d: %v", i, n, err)
+					return
+				case answer.Code == 0 && got == wholeRows:
+					whole.Add(1)
+				case answer.Code == 0:
+					wrong.Add(1)
+					w.notef("frames client %d, statement %d: served, with %d of %d rows", i, n, got, wholeRows)
+				default:
+					failed.Add(1)
+				}
+				time.Sleep(100 * time.Millisecond)
+			}
+		}()
+	}
 	all.Wait()
 	w.notef("%d answers of engines, %d of them stopped short; clients got %d whole results, %d cut with an error, %d errors or refusals, %d cut without an error",
 		count.Load(), shorted.Load(), whole.Load(), cut.Load(), failed.Load(), wrong.Load())
