--- a/review/driver-2/main.go
+++ b/review/driver-2/main.go
@@ -25,6 +25,7 @@
 	"prepared":    prepared,
 	"outage":      outage,
 	"twice":       twice,
+	"bursars":     bursars,
 	"short":       short,
 	"inline":      inline,
 	"set-list":    setList,
