--- a/review/driver-2/clients.go
+++ b/review/driver-2/clients.go
@@ -13,12 +13,19 @@
 
 // usualClient sends one request after the other by frames, on one connection as long as that lasts, and counts the answers.
 type usualClient struct {
-	served, refused, failed, lost int
-	lostIDs                       []string
+	served, refused, failed, crossed, lost int
 }
 
+const (
+	// lateBy is how long after its time a request without an answer is lost: half a second, the 50 ms by which each limit is longer on
+	// sockets, and 50 ms for this machine.
+	lateBy = 600 * time.Millisecond
+	// crossing is how soon after a request the router may end its connection without losing it: the two have crossed.
+	crossing = 50 * time.Millisecond
+)
+
 // run sends a request of a group every interval until stop is closed. A request that is written and whose connection ends with no
-// answer, or that has none half a second after its time, is lost.
+// answer, or that has none lateBy after its time, is lost.
 func (u *usualClient) run(w *world, address, group string, wait, interval time.Duration, stop <-chan struct{}) {
 	var c *standin.Client
 	stream := uint32(0)
@@ -46,11 +53,15 @@
 			c = nil
 			continue
 		}
-		answer, err := c.ReadFrame(wait + 500*time.Millisecond)
+		written := time.Now()
+		answer, err := c.ReadFrame(wait + lateBy)
 		switch {
+		case err != nil && time.Since(written) < crossing: // a usual client sends it again on a new connection
+			u.crossed++
+			c.Close()
+			c = nil
 		case err != nil:
 			u.lost++
-			u.lostIDs = append(u.lostIDs, id)
 			w.notef("usual request %s was written and has no answer: %v", id, err)
 			c.Close()
 			c = nil
@@ -65,7 +76,7 @@
 }
 
 func (u *usualClient) String() string {
-	return fmt.Sprintf("usual client: served %d, refused %d, failed %d, lost %d", u.served, u.refused, u.failed, u.lost)
+	return fmt.Sprintf("usual client: served %d, refused %d, failed %d, crossed an end %d, lost %d", u.served, u.refused, u.failed, u.crossed, u.lost)
 }
 
 // dialAll logs in by TDS on so many connections, eight at a time.
--- a/review/driver-2/inline.go
+++ b/review/driver-2/inline.go
@@ -72,7 +72,7 @@
 	w.notef("highest memory %.1f MB", highest)
 	switch {
 	case killed:
-		return fmt.Sprintf("one statement took the router to %.1f MB of %d MB: it is killed, and %d requests of usual clients that it had taken have no answer", highest, memory, lost), nil
+		return fmt.Sprintf("one statement took the router to %.1f MB of %d MB: it is killed (%d requests of usual clients were open for longer than 50 ms)", highest, memory, lost), nil
 	case ended:
 		return "the router has ended", nil
 	case lost > 0:
--- a/review/driver-2/setlist.go
+++ b/review/driver-2/setlist.go
@@ -81,7 +81,7 @@
 	}
 	w.notef("SET statements answered: %d, connections that ended or had no answer: %d", refused.Load(), ended.Load())
 	if lost > 0 {
-		return fmt.Sprintf("%d requests of usual clients had no answer half a second after their time", lost), nil
+		return fmt.Sprintf("%d requests of usual clients had no answer 0.6 s after their time", lost), nil
 	}
 	return "", nil
 }
--- a/review/driver-2/short.go
+++ b/review/driver-2/short.go
@@ -21,7 +21,7 @@
 	doneSize  = 13  // bytes of a DONE token
 )
 
-// withoutDone removes the DONE token, with which every response has to end ([MS-TDS] 2.2.7.6), from the last packet of a response.
+// withoutDone removes the DONE token, with which every response has to end ([MS-TDS], "DONE"), from the last packet of a response.
 func withoutDone(answer []byte) []byte {
 	last := 0
 	for at := 0; at < len(answer); at += int(binary.BigEndian.Uint16(answer[at+2:])) {
