Event loop: the log says which message took long to read

Only the handling of an event is measured; reading a message, which is what makes the event, is not.

Tests of the event loop pass.

--- a/internal/loop/messages.go
+++ b/internal/loop/messages.go
@@ -29,7 +29,9 @@
 // processMessage reads the next complete message of a connection and processes it. It returns false if there is none, or if the
 // connection can't be read any more.
 func (l *Loop) processMessage(p *peer) bool {
+	begin, size := time.Now(), p.received.Len()
 	event, err := l.nextEvent(p)
+	l.recordReading(p, begin, size-p.received.Len())
 	if l.protocolOut.Len() > 0 {
 		l.write(p, l.protocolOut)
 	}
