TDS: the key of a SET statement is built in one pass

Cause: leadingSettings added each option name to the key by string concatenation, which copies all names before it.

Change: optionNames builds the key with one buffer.

--- a/internal/tds/statements.go
+++ b/internal/tds/statements.go
@@ -44,10 +44,7 @@
 		case name.Upper == "TRANSACTION":
 			s.key = "TRANSACTION ISOLATION LEVEL"
 		default: // SET A ON, SET A, B ON, SET IDENTITY_INSERT table ON
-			s.key = name.Upper
-			for k := i + 2; k+1 < end && words[k].Text == ","; k += 2 {
-				s.key += "," + words[k+1].Upper
-			}
+			s.key = optionNames(words[i+1 : end])
 		}
 		settings = append(settings, s)
 		i = end
@@ -55,6 +52,17 @@
 	return settings, true
 }
 
+// optionNames returns the names at the start of a list of options, as in A, B ON, with commas between them.
+func optionNames(words []statement.Token) string {
+	var names strings.Builder
+	names.WriteString(words[0].Upper)
+	for i := 1; i+1 < len(words) && words[i].Text == ","; i += 2 {
+		names.WriteByte(',')
+		names.WriteString(words[i+1].Upper)
+	}
+	return names.String()
+}
+
 // statementStarts are the words that begin a new statement, so they end a SET or USE that has no semicolon.
 var statementStarts = map[string]bool{"SET": true, "USE": true, "SELECT": true, "INSERT": true, "UPDATE": true, "DELETE": true,
 	"MERGE": true, "WITH": true, "EXEC": true, "EXECUTE": true, "DECLARE": true, "IF": true, "BEGIN": true,
