TDS: the name of a database has at most 128 characters

Cause: saveSetting held the name of a USE to no length; a login's is held to 128 characters.

Change: a longer name is answered with error 103, as SQL Server does; the database in use stays.

Result: TestLongNameOfADatabaseIsRefused failed before (the USE was accepted) and passes.

--- a/internal/tds/cost_test.go
+++ b/internal/tds/cost_test.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sys/unix"
 
 	"pitchfield/internal/rows"
+	"pitchfield/internal/traffic"
 )
 
 const (
@@ -141,3 +142,31 @@
 		assert.Less(t, bytes, allowed*size, name)
 	}
 }
+
+// The name of a USE was kept whatever its length: 240 KB went before each later statement of the session, however small, and into
+// each DB_NAME() that one asked for.
+func TestLongNameOfADatabaseIsRefused(t *testing.T) {
+	pair := newPair(t).login()
+	pair.session.server.Databases = nil // any
+	send := func(text string) {
+		pair.replies, pair.events = nil, nil
+		pair.engine.beginRequest("q", false)
+		r := batchRequest(text)
+		writeMessage(pair.toSession, r.packetType, 0, defaultPacketSize, r.payload)
+		pair.run()
+		require.NoError(t, pair.sessionErr)
+	}
+	longest := strings.Repeat("ä", maxDatabaseName)
+	send("USE " + longest)
+	_, last := pair.result()
+	assert.Equal(t, traffic.ReplyComplete, last.Kind)
+	send("USE " + strings.Repeat("a", largestChars-10))
+	_, last = pair.result()
+	assert.Equal(t, traffic.ReplyFailed, last.Kind)
+	assert.Contains(t, last.Reason, "too long")
+	send("SELECT a FROM x_1.b")
+	require.Len(t, pair.events, 1)
+	batch, is := pair.events[0].(*traffic.BatchRequest)
+	require.True(t, is)
+	assert.Equal(t, "USE ["+longest+"]; ", batch.Batch.SessionSetup, "the database in use stays")
+}
--- a/internal/tds/session.go
+++ b/internal/tds/session.go
@@ -57,6 +57,7 @@
 	maxSettingBytes = 4 << 10   // total text of the SET statements
 	maxHandles      = 256       // prepared statements
 	maxHandleBytes  = 128 << 10 // total text of the prepared statements
+	maxDatabaseName = 128       // UTF-16 units; the longest identifier of SQL Server
 )
 
 // Session is the protocol state of one client connection. It does no I/O and is not safe for concurrent use.
@@ -339,6 +340,9 @@
 // client.
 func (s *Session) saveSetting(setting sessionSetting) *Message {
 	if setting.database != "" {
+		if utf16Units(setting.database) > maxDatabaseName {
+			return &Message{103, 4, 15, fmt.Sprintf("The identifier that starts with %.60q is too long. Maximum length is %d.", setting.database, maxDatabaseName)}
+		}
 		if !s.databaseAllowed(setting.database) {
 			return &Message{911, 1, 16, fmt.Sprintf("Database %.60q does not exist.", setting.database)}
 		}
