TDS: the router answers 64 server values at most, and reports the last USE

Statements of 256 KB: SELECT 1,1,... took 66 ms of the event loop, USE a USE a ... 34 ms with an answer of 2.3 MB, which ends the connection that asks.

Cause: serverValues and the report of each USE had no bound on their number; each entry costs up to 20 times the bytes that name it.

Change: a SELECT of more than 64 server values goes to an engine; several USEs in one text are reported by the last one.

--- a/internal/tds/cost_test.go
+++ b/internal/tds/cost_test.go
@@ -54,6 +54,9 @@
 	"SET of many options":       func(chars int) string { return repeat(chars, "SET A", ",A", " ON") },
 	"many SETs of one option":   func(chars int) string { return repeat(chars, "", "SET A 1;", "") },
 	"many SETs without an end":  func(chars int) string { return repeat(chars, "", "SET A 1 ", "") },
+	"many USEs":                 func(chars int) string { return repeat(chars, "", "USE a ", "") },
+	"server values":             func(chars int) string { return repeat(chars, "SELECT 1", ",1", "") },
+	"names of the session":      func(chars int) string { return repeat(chars, "SELECT APP_NAME()", ",DB_NAME()", "") },
 	"single characters":         func(chars int) string { return repeat(chars, "", ",", "") },
 	"short words in lower case": func(chars int) string { return repeat(chars, "", "a ", "") },
 	"one word":                  func(chars int) string { return repeat(chars, "", "a", "") },
@@ -170,3 +173,19 @@
 	require.True(t, is)
 	assert.Equal(t, "USE ["+longest+"]; ", batch.Batch.SessionSetup, "the database in use stays")
 }
+
+// Answers that the session gives by itself grew with the statement: a list of server values or USEs of 240 KB was answered with up
+// to 2.3 MB, and took up to 66 ms.
+func TestAnswerOfTheSessionIsNotLargerThanItsRequest(t *testing.T) {
+	for name, text := range statements {
+		r := batchRequest(text(largestChars))
+		pair := newPair(t).login()
+		pair.session.server.Databases = nil // any
+		in, out := pair.pool.Chain(), pair.pool.Chain()
+		size := len(r.payload)
+		writeMessage(in, r.packetType, 0, defaultPacketSize, r.payload)
+		_, err := pair.session.Read(in, out)
+		require.NoError(t, err)
+		assert.LessOrEqual(t, out.Len(), size, name)
+	}
+}
--- a/internal/tds/server_values.go
+++ b/internal/tds/server_values.go
@@ -15,6 +15,10 @@
 // productName is the value of @@VERSION.
 const productName = "pitchfield, a router before analytic engines"
 
+// maxServerValues is the largest number of server values that the router answers itself; no tool asks for as many. A statement
+// with more goes to an engine.
+const maxServerValues = 64
+
 // maxServerValueTokens is more than the tokens of the longest server value with its column name, DB_NAME() AS name.
 const maxServerValueTokens = 6
 
@@ -26,7 +30,7 @@
 		return nil, false
 	}
 	var out []rows.Parameter
-	for {
+	for len(out) < maxServerValues {
 		item, last, ok := nextSelectItem(tokens)
 		if !ok {
 			return nil, false
@@ -39,6 +43,7 @@
 			return out, true
 		}
 	}
+	return nil, false
 }
 
 // nextSelectItem reads an item of a SELECT list up to the comma behind it. It reports whether it is the last, with nothing but
--- a/internal/tds/session.go
+++ b/internal/tds/session.go
@@ -297,13 +297,13 @@
 		return s.sendError(out, unsupportedError(feature))
 	}
 	prefix := s.settingsPrefix() // without the settings of this text, which are sent as part of it
-	databases, only, refused := s.saveLeadingSettings(text)
+	database, only, refused := s.saveLeadingSettings(text)
 	if refused != nil {
 		return s.sendError(out, *refused)
 	}
 	if only {
 		s.respond(out, func(b []byte) []byte {
-			for _, database := range databases {
+			if database != "" { // the last of several: a client is told of the change that holds
 				b = appendEnvChange(b, envDatabase, database, s.login.database)
 				b = appendMessage(b, tokenInfo, Message{5701, 2, 0, "Changed database context to '" + database + "'."}, s.server.Name)
 			}
@@ -318,20 +318,20 @@
 	return s.submit(text, prefix, nil, out)
 }
 
-// saveLeadingSettings records the settings at the start of a text. It returns the databases that a USE named, whether the text
-// has no other statements, and the error for the client if a setting is not allowed.
-func (s *Session) saveLeadingSettings(text string) (databases []string, only bool, refused *Message) {
+// saveLeadingSettings records the settings at the start of a text. It returns the database that the last USE named, if there
+// is one, whether the text has no other statements, and the error for the client if a setting is not allowed.
+func (s *Session) saveLeadingSettings(text string) (database string, only bool, refused *Message) {
 	leading := newSettingsReader(text)
 	for {
 		setting, found := leading.next()
 		if !found {
-			return databases, leading.only, nil
+			return database, leading.only, nil
 		}
 		if refused := s.saveSetting(setting); refused != nil {
-			return nil, false, refused
+			return "", false, refused
 		}
 		if setting.database != "" {
-			databases = append(databases, setting.database)
+			database = setting.database
 		}
 	}
 }
