TDS: values of a call find their declared names by a map

A call of sp_executesql with 2,098 values and 14,686 declared names took 0.24 s of the event loop.

Cause: nameParameters compared each value with each declared name; names had no bound on their number.

Change: a map of the names; a declaration of more than 2,100 parameters is refused, as a request with more values is.

--- a/internal/tds/cost_test.go
+++ b/internal/tds/cost_test.go
@@ -1,6 +1,7 @@
 package tds
 
 import (
+	"fmt"
 	"runtime"
 	"strings"
 	"testing"
@@ -189,3 +190,41 @@
 		assert.LessOrEqual(t, out.Len(), size, name)
 	}
 }
+
+// shortBit returns a parameter of the smallest size.
+func shortBit(name string) rows.Parameter {
+	return rows.Parameter{Column: rows.Column{Name: name, Type: rows.Type{Kind: rows.Bit}}, Value: []byte{1}}
+}
+
+// textParameter returns a parameter without a name that is a text.
+func textParameter(text string) rows.Parameter {
+	return rows.Parameter{Column: rows.Column{Type: rows.Type{Kind: rows.Text}}, Value: []byte(text)}
+}
+
+// callWithParameters returns a call of sp_executesql of about this many characters: with as many values as a call may have if it is
+// of the largest size, and with this many declared names to a value, the last of which have the values.
+func callWithParameters(chars, namesPerValue int) request {
+	values := (maxParameters - 2) * chars / largestChars
+	names := values * namesPerValue
+	var declaration strings.Builder
+	for i := range names {
+		fmt.Fprintf(&declaration, "@%x,", i)
+	}
+	parameters := []rows.Parameter{textParameter("SELECT 1"), textParameter(declaration.String())}
+	for i := range values {
+		parameters = append(parameters, shortBit(fmt.Sprintf("@%x", names-values+i)))
+	}
+	return rpcCall(procExecuteSQL, parameters...)
+}
+
+// Each value of a call was compared with each declared name: 2,100 values and 15,000 names took the event loop 0.2 s.
+func TestCostOfACallFollowsItsSize(t *testing.T) {
+	assertCostFollowsSize(t, "values and far more declared names", func(chars int) request { return callWithParameters(chars, 7) })
+	assertCostFollowsSize(t, "values and as many declared names", func(chars int) request { return callWithParameters(chars, 1) })
+	assertCostFollowsSize(t, "a name that stands many times in the text", func(chars int) request {
+		return rpcCall(procExecuteSQL, textParameter(repeat(chars-100, "", "@a*", "")), textParameter("@a bit"), shortBit(""))
+	})
+	assertCostFollowsSize(t, "a text of quotes", func(chars int) request {
+		return rpcCall(procExecuteSQL, textParameter("SELECT @a"), textParameter("@a int"), textParameter(repeat(chars-100, "", "'", "")))
+	})
+}
--- a/internal/tds/rpc.go
+++ b/internal/tds/rpc.go
@@ -30,6 +30,9 @@
 	paramDefaultValue = 2    // fDefaultValue of a parameter's StatusFlags
 )
 
+// moreParameters names the feature that a request with more than maxParameters asks for.
+var moreParameters = fmt.Sprintf("more than %d parameters", maxParameters)
+
 // rpcRequest is a parsed RPC request.
 type rpcRequest struct {
 	procID     uint16 // 0: a procedure without a number
@@ -103,7 +106,7 @@
 			return out, requestError{unsupportedError("several calls in one request")}
 		}
 		if len(out.parameters) == maxParameters {
-			return out, requestError{unsupportedError("more than 2100 parameters")}
+			return out, requestError{unsupportedError(moreParameters)}
 		}
 		p := parameter{}
 		p.Name = c.bVarChar()
@@ -187,10 +190,11 @@
 	return t.Kind.String()
 }
 
-// declaredNames returns the parameter names in a declaration like "@a int, @b decimal(9,2)".
+// declaredNames returns the parameter names in a declaration like "@a int, @b decimal(9,2)". It stops after one more than a
+// request may have.
 func declaredNames(declaration string) (names []string) {
 	depth, expectName := 0, true
-	for i := 0; i < len(declaration); i++ {
+	for i := 0; i < len(declaration) && len(names) <= maxParameters; i++ {
 		switch c := declaration[i]; {
 		case c == '(':
 			depth++
@@ -214,11 +218,17 @@
 // its position in the declaration.
 func nameParameters(declaration string, values []parameter) ([]rows.Parameter, error) {
 	names := declaredNames(declaration)
+	if len(names) > maxParameters {
+		return nil, requestError{unsupportedError(moreParameters)}
+	}
 	if len(values) > len(names) {
 		return nil, requestError{Message{8144, 2, 16, fmt.Sprintf("%d values for %d declared parameters.", len(values), len(names))}}
 	}
+	without := make(map[string]bool, len(names)) // declared names in lower case that have no value yet
+	for _, name := range names {
+		without[strings.ToLower(name)] = true
+	}
 	out := make([]rows.Parameter, 0, len(values))
-	seen := map[string]bool{}
 	for i, v := range values {
 		if v.output {
 			return nil, requestError{unsupportedError("a parameter that returns a value")}
@@ -231,14 +241,10 @@
 			name = "@" + name
 		}
 		key := strings.ToLower(name)
-		declared := false
-		for _, n := range names {
-			declared = declared || strings.EqualFold(n, name)
-		}
-		if !declared || seen[key] {
+		if !without[key] {
 			return nil, requestError{Message{8145, 1, 16, fmt.Sprintf("%.40q is not a declared parameter, or is there twice.", name)}}
 		}
-		seen[key] = true
+		without[key] = false
 		p := v.Parameter
 		p.Name = name
 		out = append(out, p)
