TDS: a prepared text is searched once for what is not supported

Cause: unsupportedFeature read the whole text at each call.

Change: it is read when the statement is prepared; a call is refused by what was found then.

--- a/internal/tds/cost_test.go
+++ b/internal/tds/cost_test.go
@@ -228,3 +228,18 @@
 		return rpcCall(procExecuteSQL, textParameter("SELECT @a"), textParameter("@a int"), textParameter(repeat(chars-100, "", "'", "")))
 	})
 }
+
+// A call of 40 bytes that runs a prepared statement searched all of its text, up to 128 KB, for what the router does not support.
+func TestCostOfAPreparedStatementIsPaidOnce(t *testing.T) {
+	number := func(n uint32) rows.Parameter {
+		return rows.Parameter{Column: rows.Column{Type: rows.Type{Kind: rows.Int32}}, Value: appendU32(nil, n)}
+	}
+	for _, end := range []string{"", " COMMIT TRAN"} {
+		text := repeat(largestChars-200, "SELECT ", ",", end)
+		prepare := rpcCall(procPrepare, number(0), textParameter(""), textParameter(text))
+		execute := rpcCall(procExecute, number(1))
+		whenPrepared, whenExecuted := readCost(t, prepare), readCost(t, prepare, execute)
+		t.Logf("prepare %s, execute %s", whenPrepared, whenExecuted)
+		assert.Less(t, 4*whenExecuted, whenPrepared, "%q", end)
+	}
+}
--- a/internal/tds/session.go
+++ b/internal/tds/session.go
@@ -83,8 +83,12 @@
 	out                 writer
 }
 
-// preparedStatement is the text of a prepared statement and the declaration of its parameters.
-type preparedStatement struct{ text, declaration string }
+// preparedStatement is a statement that is run with values for its parameters, one or many times.
+type preparedStatement struct {
+	text        string
+	declaration string // of its parameters
+	unsupported string // the feature in text that is not supported; empty: none
+}
 
 // HasPartial reports whether part of a message has been received.
 func (s *Session) HasPartial() bool { return s.incoming.hasBegun() }
@@ -422,8 +426,8 @@
 		if err != nil {
 			return nil, err
 		}
-		if feature := unsupportedFeature(p.text); feature != "" {
-			return nil, requestError{unsupportedError(feature)}
+		if p.unsupported != "" {
+			return nil, requestError{unsupportedError(p.unsupported)}
 		}
 		return s.submit(p.text, s.settingsPrefix(), parameters, out), nil
 	}
@@ -431,6 +435,7 @@
 		if p.text, err = text(i); err == nil && declaration < len(request.parameters) && !request.parameters[declaration].Null {
 			p.declaration, err = text(declaration)
 		}
+		p.unsupported = unsupportedFeature(p.text)
 		return p, err
 	}
 	switch request.procID {
