--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -85,6 +85,7 @@
 	partialSince time.Time // when that part began to arrive
 	lingering    bool      // this side has ended it and reads until the peer closes
 	inBacklog    bool      // it is in Loop.backlog
+	overdrawn    int       // bytes of its messages for which it still passes turns; 0 or less: none
 	acceptedLate bool      // it was accepted after the loop had begun to stop
 	rejecting    bool      // requests on it are rejected
 }
