--- a/internal/tds/session.go
+++ b/internal/tds/session.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"math"
 	"strings"
 
 	"pitchfield/internal/assign"
@@ -51,15 +50,6 @@
 	closed
 )
 
-// Limits on the state of one session. Exceeding one is answered with an error; the session stays open.
-const (
-	maxSettings     = 64        // SET options
-	maxSettingBytes = 4 << 10   // total text of the SET statements
-	maxHandles      = 256       // prepared statements
-	maxHandleBytes  = 128 << 10 // total text of the prepared statements
-	maxDatabaseName = 128       // UTF-16 units; the longest identifier of SQL Server
-)
-
 // Session is the protocol state of one client connection. It does no I/O and is not safe for concurrent use.
 type Session struct {
 	server             *Server
@@ -83,13 +73,6 @@
 	out                 writer
 }
 
-// preparedStatement is a statement that is run with values for its parameters, one or many times.
-type preparedStatement struct {
-	text        string
-	declaration string // of its parameters
-	unsupported string // the feature in text that is not supported; empty: none
-}
-
 // HasPartial reports whether part of a message has been received.
 func (s *Session) HasPartial() bool { return s.incoming.hasBegun() }
 
@@ -268,32 +251,11 @@
 		}}, nil
 }
 
-// databaseAllowed reports whether sessions of this server may use the database. Names ignore case.
-func (s *Session) databaseAllowed(database string) bool {
-	if database == "" || len(s.server.Databases) == 0 {
-		return true
-	}
-	for _, d := range s.server.Databases {
-		if strings.EqualFold(d, database) {
-			return true
-		}
-	}
-	return false
-}
-
 // reset restores the session's state right after the login, as RESETCONNECTION asks.
 func (s *Session) reset() {
 	s.database, s.settings, s.handles, s.handleBytes, s.resetUnacknowledged = "", nil, nil, 0, true
 }
 
-// currentDatabase returns the database in which a statement's names are resolved.
-func (s *Session) currentDatabase() string {
-	if s.database != "" {
-		return s.database
-	}
-	return s.login.database
-}
-
 // handleBatch processes a SQL batch request. Texts of only SET and USE statements and queries of server values are
 // answered here; everything else becomes a batch for an engine.
 func (s *Session) handleBatch(text string, out *buffers.Chain) traffic.ClientMessage {
@@ -322,64 +284,6 @@
 	return s.submit(text, prefix, nil, out)
 }
 
-// saveLeadingSettings records the settings at the start of a text. It returns the database that the last USE named, if there
-// is one, whether the text has no other statements, and the error for the client if a setting is not allowed.
-func (s *Session) saveLeadingSettings(text string) (database string, only bool, refused *Message) {
-	leading := newSettingsReader(text)
-	for {
-		setting, found := leading.next()
-		if !found {
-			return database, leading.only, nil
-		}
-		if refused := s.saveSetting(setting); refused != nil {
-			return "", false, refused
-		}
-		if setting.database != "" {
-			database = setting.database
-		}
-	}
-}
-
-// saveSetting records a setting in place of an earlier one of the same key. If it is not allowed it returns the error for the
-// client.
-func (s *Session) saveSetting(setting sessionSetting) *Message {
-	if setting.database != "" {
-		if utf16Units(setting.database) > maxDatabaseName {
-			return &Message{103, 4, 15, fmt.Sprintf("The identifier that starts with %.60q is too long. Maximum length is %d.", setting.database, maxDatabaseName)}
-		}
-		if !s.databaseAllowed(setting.database) {
-			return &Message{911, 1, 16, fmt.Sprintf("Database %.60q does not exist.", setting.database)}
-		}
-		s.database = setting.database
-		return nil
-	}
-	kept, size := s.settings[:0], len(setting.text)
-	for _, old := range s.settings {
-		if old.key != setting.key {
-			kept, size = append(kept, old), size+len(old.text)
-		}
-	}
-	if len(kept) >= maxSettings || size > maxSettingBytes {
-		refused := unsupportedError("so many SET options of one session")
-		return &refused
-	}
-	s.settings = append(kept, setting)
-	return nil
-}
-
-// settingsPrefix returns the USE and SET statements that give an engine's connection the session's settings. They are
-// sent ahead of each batch.
-func (s *Session) settingsPrefix() string {
-	var prefix strings.Builder
-	if s.database != "" {
-		prefix.WriteString("USE [" + strings.ReplaceAll(s.database, "]", "]]") + "]; ")
-	}
-	for _, setting := range s.settings {
-		prefix.WriteString(setting.text + "; ")
-	}
-	return prefix.String()
-}
-
 // submit turns a statement into a batch for an engine and applies the assignment rules to it.
 func (s *Session) submit(text, prefix string, parameters []rows.Parameter, out *buffers.Chain) traffic.ClientMessage {
 	ask := &traffic.BatchRequest{Stream: s.stream + 1}
@@ -410,128 +314,3 @@
 	s.pending = true
 	return ask
 }
-
-// handleRPC processes an RPC request. It handles sp_executesql, sp_prepare, sp_prepexec, sp_execute and sp_unprepare. A
-// procedure called by any other name is sent to an engine as an EXEC statement; one called by any other number, such as those
-// of server cursors (1 to 9), gets an error as unsupported.
-func (s *Session) handleRPC(request rpcRequest, out *buffers.Chain) (traffic.ClientMessage, error) {
-	text := func(i int) (string, error) {
-		if i >= len(request.parameters) || request.parameters[i].Kind != rows.Text {
-			return "", requestError{Message{214, 2, 16, "A procedure lacks a parameter of text."}}
-		}
-		return string(request.parameters[i].Value), nil
-	}
-	run := func(p preparedStatement, values []parameter) (traffic.ClientMessage, error) {
-		parameters, err := nameParameters(p.declaration, values)
-		if err != nil {
-			return nil, err
-		}
-		if p.unsupported != "" {
-			return nil, requestError{unsupportedError(p.unsupported)}
-		}
-		return s.submit(p.text, s.settingsPrefix(), parameters, out), nil
-	}
-	statementAt := func(i, declaration int) (p preparedStatement, err error) {
-		if p.text, err = text(i); err == nil && declaration < len(request.parameters) && !request.parameters[declaration].Null {
-			p.declaration, err = text(declaration)
-		}
-		p.unsupported = unsupportedFeature(p.text)
-		return p, err
-	}
-	switch request.procID {
-	case procExecuteSQL:
-		p, err := statementAt(0, 1)
-		if err != nil {
-			return nil, err
-		}
-		return run(p, request.parameters[min(2, len(request.parameters)):])
-	case procPrepare, procPrepExec:
-		p, err := statementAt(2, 1)
-		if err != nil {
-			return nil, err
-		}
-		handle, err := s.prepare(p)
-		if err != nil {
-			return nil, err
-		}
-		s.response.handle = handle
-		if request.procID == procPrepExec {
-			return run(p, request.parameters[3:])
-		}
-		s.beginResponse()
-		s.finishResponse(out)
-		return traffic.HandledLocally{}, nil
-	case procExecute, procUnprepare:
-		handle, ok := int32(0), false
-		if len(request.parameters) > 0 && request.parameters[0].Kind == rows.Int32 && len(request.parameters[0].Value) == 4 {
-			v := request.parameters[0].Value
-			handle, ok = int32(uint32(v[0])|uint32(v[1])<<8|uint32(v[2])<<16|uint32(v[3])<<24), true
-		}
-		p, found := s.handles[handle]
-		if !ok || !found {
-			return nil, requestError{Message{8179, 2, 16, fmt.Sprintf("Could not find prepared statement with handle %d.", handle)}}
-		}
-		if request.procID == procExecute {
-			return run(p, request.parameters[1:])
-		}
-		delete(s.handles, handle)
-		s.handleBytes -= len(p.text) + len(p.declaration)
-		s.beginResponse()
-		s.finishResponse(out)
-		return traffic.HandledLocally{}, nil
-	case 0:
-		return s.handleNamedProcedure(request, out)
-	}
-	if request.procID <= 9 { // sp_cursor to sp_cursorclose
-		return nil, requestError{unsupportedError("server cursors")}
-	}
-	return nil, requestError{unsupportedError(fmt.Sprintf("the procedure with number %d", request.procID))}
-}
-
-// prepare stores a statement and returns its new handle.
-func (s *Session) prepare(p preparedStatement) (int32, error) {
-	size := len(p.text) + len(p.declaration)
-	if len(s.handles) >= maxHandles || s.handleBytes+size > maxHandleBytes || s.lastHandle == math.MaxInt32 {
-		return 0, requestError{unsupportedError("so many prepared statements of one session")}
-	}
-	if s.handles == nil {
-		s.handles = map[int32]preparedStatement{}
-	}
-	s.lastHandle++
-	s.handles[s.lastHandle] = p
-	s.handleBytes += size
-	return s.lastHandle, nil
-}
-
-// handleNamedProcedure turns an RPC request by procedure name into an EXEC statement with its parameters as literals.
-func (s *Session) handleNamedProcedure(request rpcRequest, out *buffers.Chain) (traffic.ClientMessage, error) {
-	if request.name == "" || strings.ContainsFunc(request.name, func(r rune) bool { return !isNameRune(r) && !strings.ContainsRune(".[] ", r) }) {
-		return nil, requestError{Message{2812, 62, 16, fmt.Sprintf("%.60q is not the name of a procedure.", request.name)}}
-	}
-	var text strings.Builder
-	text.WriteString("EXEC " + request.name)
-	for i, p := range request.parameters {
-		literal, err := rows.Literal(p.Parameter)
-		switch {
-		case p.output:
-			return nil, requestError{unsupportedError("a parameter that returns a value")}
-		case err != nil:
-			return nil, requestError{Message{8114, 5, 16, err.Error()}}
-		case strings.ContainsFunc(p.Name, func(r rune) bool { return !isNameRune(r) && r != '@' }):
-			return nil, requestError{Message{8145, 1, 16, fmt.Sprintf("%.40q is not the name of a parameter.", p.Name)}}
-		case p.Name != "":
-			literal = p.Name + "=" + literal
-		}
-		if i > 0 {
-			text.WriteByte(',')
-		}
-		text.WriteString(" " + literal)
-	}
-	return s.submit(text.String(), s.settingsPrefix(), nil, out), nil
-}
-
-// isNameRune reports whether r is allowed in procedure and parameter names. The callers allow further characters: brackets,
-// dots and spaces in procedure names, and @ in parameter names.
-func isNameRune(r rune) bool {
-	return r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || r >= '0' && r <= '9' || r == '_' || r == '$' || r == '#' || r >= 0x80
-}
--- a/internal/tds/statements.go
+++ b/internal/tds/session_settings.go
@@ -1,11 +1,22 @@
 package tds
 
 import (
+	"fmt"
 	"strings"
 
 	"pitchfield/internal/statement"
 )
 
+// SET and USE statements belong to a session, whose batches run on different engines. The session keeps them and sends them
+// ahead of each batch.
+
+// Limits on what a session keeps. Exceeding one is answered with an error; the session stays open.
+const (
+	maxSettings     = 64      // SET options
+	maxSettingBytes = 4 << 10 // total text of the SET statements
+	maxDatabaseName = 128     // UTF-16 units; the longest identifier of SQL Server
+)
+
 // sessionSetting is a SET or USE statement.
 type sessionSetting struct {
 	key      string // names what it sets; a later setting of the same key replaces it
@@ -104,69 +115,81 @@
 	"CREATE": true, "DROP": true, "ALTER": true, "TRUNCATE": true, "PRINT": true, "COMMIT": true, "ROLLBACK": true,
 	"SAVE": true, "WAITFOR": true, "WHILE": true}
 
-// maxWordsBetween is how many words may stand between DECLARE and the CURSOR that belongs to it.
-const maxWordsBetween = 3
-
-// unsupportedFeature names the feature of a statement that needs a session of its own on an engine; empty: none. The
-// router supports no such feature because batches of one client session run on different engines.
-func unsupportedFeature(text string) string {
-	tokens := statement.NewTokenizer(text)
-	token, more := tokens.Next()
-	words := keywords{current: token.Keyword(), isFirst: true, sinceDeclare: maxWordsBetween + 1}
-	for more {
-		next, another := tokens.Next()
-		words.next = next.Keyword()
-		if strings.HasPrefix(token.Text, "#") {
-			return "temporary tables (" + truncateUTF16(token.Text, 40) + ")"
+// saveLeadingSettings records the settings at the start of a text. It returns the database that the last USE named, if there
+// is one, whether the text has no other statements, and the error for the client if a setting is not allowed.
+func (s *Session) saveLeadingSettings(text string) (database string, only bool, refused *Message) {
+	leading := newSettingsReader(text)
+	for {
+		setting, found := leading.next()
+		if !found {
+			return database, leading.only, nil
 		}
-		if feature := words.unsupportedFeature(); feature != "" {
-			return feature
+		if refused := s.saveSetting(setting); refused != nil {
+			return "", false, refused
+		}
+		if setting.database != "" {
+			database = setting.database
 		}
-		words.advance()
-		token, more = next, another
 	}
-	return ""
 }
 
-// keywords are a word of a statement and those around it, as Token.Keyword returns them.
-type keywords struct {
-	previous, current, next string
-	isFirst                 bool // current is the first word of the statement
-	sinceDeclare            int  // words between the last DECLARE and current
+// saveSetting records a setting in place of an earlier one of the same key. If it is not allowed it returns the error for the
+// client.
+func (s *Session) saveSetting(setting sessionSetting) *Message {
+	if setting.database != "" {
+		if utf16Units(setting.database) > maxDatabaseName {
+			return &Message{103, 4, 15, fmt.Sprintf("The identifier that starts with %.60q is too long. Maximum length is %d.", setting.database, maxDatabaseName)}
+		}
+		if !s.databaseAllowed(setting.database) {
+			return &Message{911, 1, 16, fmt.Sprintf("Database %.60q does not exist.", setting.database)}
+		}
+		s.database = setting.database
+		return nil
+	}
+	kept, size := s.settings[:0], len(setting.text)
+	for _, old := range s.settings {
+		if old.key != setting.key {
+			kept, size = append(kept, old), size+len(old.text)
+		}
+	}
+	if len(kept) >= maxSettings || size > maxSettingBytes {
+		refused := unsupportedError("so many SET options of one session")
+		return &refused
+	}
+	s.settings = append(kept, setting)
+	return nil
 }
 
-// advance goes on to the next word.
-func (k *keywords) advance() {
-	k.sinceDeclare++
-	if k.current == "DECLARE" {
-		k.sinceDeclare = 0
+// settingsPrefix returns the USE and SET statements that give an engine's connection the session's settings. They are
+// sent ahead of each batch.
+func (s *Session) settingsPrefix() string {
+	var prefix strings.Builder
+	if s.database != "" {
+		prefix.WriteString("USE [" + strings.ReplaceAll(s.database, "]", "]]") + "]; ")
 	}
-	k.previous, k.current, k.isFirst = k.current, k.next, false
+	for _, setting := range s.settings {
+		prefix.WriteString(setting.text + "; ")
+	}
+	return prefix.String()
 }
 
-// unsupportedFeature names the feature that the current word stands for; empty: none that is not supported.
-func (k *keywords) unsupportedFeature() string {
-	switch k.current {
-	case "BEGIN", "SAVE":
-		if k.next == "TRAN" || k.next == "TRANSACTION" || k.next == "DISTRIBUTED" {
-			return "transactions"
-		}
-	case "COMMIT", "ROLLBACK":
-		if k.isFirst || k.next == "" || k.next == ";" || k.next == "TRAN" || k.next == "TRANSACTION" || k.next == "WORK" {
-			return "transactions"
-		}
-	case "IMPLICIT_TRANSACTIONS":
-		if k.previous == "SET" && k.next == "ON" {
-			return "transactions"
-		}
-	case "CURSOR":
-		if k.sinceDeclare <= maxWordsBetween {
-			return "server cursors"
-		}
-	case "INSERT":
-		if k.next == "BULK" {
-			return "bulk load"
+// databaseAllowed reports whether sessions of this server may use the database. Names ignore case.
+func (s *Session) databaseAllowed(database string) bool {
+	if database == "" || len(s.server.Databases) == 0 {
+		return true
+	}
+	for _, d := range s.server.Databases {
+		if strings.EqualFold(d, database) {
+			return true
 		}
 	}
-	return ""
+	return false
+}
+
+// currentDatabase returns the database in which a statement's names are resolved.
+func (s *Session) currentDatabase() string {
+	if s.database != "" {
+		return s.database
+	}
+	return s.login.database
 }
