--- a/internal/hostile/trouble.go
+++ b/internal/hostile/trouble.go
@@ -36,6 +36,7 @@
 	{Name: "unknown-names", Clients: 8, write: atFullSpeed(unknownNames)},
 	{Name: "unsound", Clients: 8, write: unsoundFrame},
 	{Name: "many-requests", Clients: 8, write: manyRequests},
+	{Name: "largest-requests", Clients: 60, write: largestRequests},
 	{Name: "slow-writers", Clients: 300, write: slowWriter},
 	{Name: "stopped-half-way", Clients: 300, write: stoppedHalfWay},
 	{Name: "short-fields", Clients: 110, write: shortFields},
@@ -197,6 +198,20 @@
 	return frame
 }
 
+// largestRequests writes one of the largest requests after the other, with a statement of very many words.
+func largestRequests(ctx context.Context, p *play, c *standin.Client, random *rand.Rand) {
+	const pace = 10 * time.Millisecond
+	words := strings.Repeat("x ", maxFrameBytes/2-100)
+	for stream := uint32(1); ctx.Err() == nil; stream++ {
+		fields := []string{"c", "lookup", "i", randomID(random), "d", fmt.Sprint(troubleLimit)}
+		if !send(c, standin.EncodeFrame(clients.FrameBatch, stream, fields, words)) {
+			return
+		}
+		p.countTrouble(1)
+		pause(ctx, pace)
+	}
+}
+
 // slowWriter writes a large request in small pieces.
 func slowWriter(ctx context.Context, p *play, c *standin.Client, random *rand.Rand) {
 	p.countTrouble(1)
