--- a/internal/rows/inline.go
+++ b/internal/rows/inline.go
@@ -72,7 +72,7 @@
 		if !found || token.Quoted {
 			continue
 		}
-		if next, any := tokens.Peek(); any && isNegative(literal) && bindsTighterThanSign(next) {
+		if next, follows := tokens.Peek(); follows && isNegative(literal) && bindsTighterThanSign(next) {
 			literal = "(" + literal + ")"
 		}
 		write(text[copied:token.Start])
